--- /dev/null
+++ b/faultproxy_test.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// link is what a fault proxy does with the bytes between a source and its target.
+type link int
+
+const (
+	passing link = iota
+	// hanging keeps connections open and passes nothing on.
+	hanging
+	// cutting refuses and breaks connections.
+	cutting
+)
+
+// network holds the faults of all proxies. Library proxies know no source, and
+// a cut between two data centres needs one; hence this one.
+type network struct {
+	mu    sync.Mutex
+	rules []rule
+}
+
+type rule struct {
+	source, target string
+	state          link
+}
+
+// set makes a rule for all sources and targets with these prefixes.
+func (n *network) set(source, target string, state link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rules = append(n.rules, rule{source: source, target: target, state: state})
+}
+
+// heal removes all rules.
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rules = nil
+}
+
+func (n *network) state(source, target string) link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	state := passing
+	for _, r := range n.rules {
+		if strings.HasPrefix(source, r.source) && strings.HasPrefix(target, r.target) {
+			state = r.state
+		}
+	}
+	return state
+}
+
+// proxy passes connections to address on to target.
+func (n *network) proxy(t *testing.T, address, target string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go n.serve(conn, address, target)
+		}
+	}()
+}
+
+func (n *network) serve(conn net.Conn, address, target string) {
+	defer func() { _ = conn.Close() }()
+	source, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	if n.state(source, address) == cutting {
+		return
+	}
+	onward, err := net.Dial("tcp", target)
+	if err != nil {
+		// The target's refusal is passed on as a broken connection.
+		return
+	}
+	defer func() { _ = onward.Close() }()
+	done := make(chan struct{}, 2)
+	state := func() link { return n.state(source, address) }
+	go pump(onward, conn, state, done)
+	go pump(conn, onward, state, done)
+	<-done
+}
+
+// pump copies bytes for as long as the link passes them.
+func pump(to, from net.Conn, state func() link, done chan<- struct{}) {
+	defer func() { done <- struct{}{} }()
+	buffer := make([]byte, 32<<10)
+	for {
+		_ = from.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		count, err := from.Read(buffer)
+		for state() == hanging {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if state() == cutting {
+			return
+		}
+		if count > 0 {
+			if _, err := to.Write(buffer[:count]); err != nil {
+				return
+			}
+		}
+		if timeout, ok := err.(net.Error); err != nil && (!ok || !timeout.Timeout()) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/main_test.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"sesamepitch/src/step"
+	"sesamepitch/src/trainer"
+
+	"gotest.tools/v3/assert"
+)
+
+func groupsOf(count, samples, tokens int) []step.Group {
+	var groups []step.Group
+	for i := range count {
+		groups = append(groups, step.Group{Prompt: "prime railing " + string(rune('a'+i%26)) + " before the second coat", Samples: samples, MaxTokens: tokens})
+	}
+	return groups
+}
+
+// TestWholePath runs a step through separate processes: document, trainer,
+// engines, judge, delivery and usage report.
+func TestWholePath(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	client := trainer.New("painter", c.key("coaching"), c.daemons[0].callers, c.daemons[3].callers)
+	outcome, err := client.Run(ctx, 1, groupsOf(4, 4, 10), 1, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, len(outcome.Samples()), 16)
+	assert.Equal(t, outcome.Doubled(), 0)
+	for identity, sample := range outcome.Samples() {
+		assert.DeepEqual(t, sample.Versions, []int64{1})
+		assert.Equal(t, sample.Tokens, 10, "%v", identity)
+		assert.Assert(t, sample.Score != nil && sample.Durable)
+	}
+	assert.NilError(t, client.Acknowledge(ctx, 1, nil, true))
+	eventually(t, 20*time.Second, "usage is reported", func() bool {
+		tokens := int64(0)
+		for _, report := range c.journal().Reports {
+			for _, figure := range report.Figures {
+				if figure.Workspace == "coaching" && report.Result == "taken" {
+					tokens += figure.Tokens
+				}
+			}
+		}
+		return tokens == 160
+	})
+}
--- /dev/null
+++ b/src/centre/node.go
@@ -0,0 +1,278 @@
+package centre
+
+import (
+	"context"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/document"
+	"sesamepitch/src/lease"
+	"sesamepitch/src/notice"
+	"sesamepitch/src/peer"
+	"sesamepitch/src/supervisor"
+
+	"github.com/go-logr/logr"
+)
+
+// Settings are a daemon's place in its data centre.
+type Settings struct {
+	// Centre is the data centre's name, Self this daemon.
+	Centre string
+	Self   Member
+	// Seeds are peers to ask when the platform is out of reach at start.
+	Seeds []string
+	// Beat is the time between heartbeats in a small data centre.
+	Beat time.Duration
+	// Lease are the times of the leader's lease in the table.
+	Lease lease.Settings
+	// CellLease is how long an owner may use its cells after a heartbeat.
+	CellLease time.Duration
+}
+
+// Node is one daemon's membership of its data centre.
+type Node struct {
+	settings Settings
+	clock    sesamepitch.Clock
+	log      logr.Logger
+	platform sesamepitch.Platform
+	dialer   *peer.Dialer
+	holder   *document.Holder
+	notices  *notice.Set
+	journal  *notice.Log
+	store    *document.Store
+	lease    *lease.Lease
+
+	nudge    chan struct{}
+	syncNow  chan struct{}
+	lastView chan struct{}
+
+	mu        sync.Mutex
+	view      *View
+	leader    Member
+	epoch     Epoch
+	role      role
+	interval  time.Duration
+	misses    int
+	lastBeat  time.Time
+	lastTick  time.Time
+	attemptAt time.Time
+	freshAt   time.Time
+	cellsTill time.Time
+	read      NoticeState
+	sentTo    string
+	sentIndex int
+	recent    []document.Delta
+	stale     map[string]int64
+	lead      *leadership
+	exchanged map[string]*exchangeState
+	listed    map[string]string
+	warm      []string
+
+	syncedBatches atomic.Int64
+}
+
+// role is what a daemon does in its data centre.
+type role int
+
+const (
+	follower role = iota
+	elected
+	caretaker
+)
+
+const (
+	keptRecent   = 64
+	viewWatchers = 1
+)
+
+// New returns a daemon's node; Worker starts it.
+func New(settings Settings, clock sesamepitch.Clock, log logr.Logger, platform sesamepitch.Platform, dialer *peer.Dialer, holder *document.Holder, notices *notice.Set) *Node {
+	return &Node{
+		settings: settings, clock: clock, log: log, platform: platform, dialer: dialer,
+		holder: holder, notices: notices,
+		journal:   notice.NewLog(platform, notices),
+		store:     document.NewStore(platform),
+		lease:     lease.New(clock, platform, leaderKey(settings.Centre), settings.Self.ID+"@"+settings.Self.Incarnation, settings.Self.Address, settings.Lease),
+		nudge:     make(chan struct{}, 1),
+		syncNow:   make(chan struct{}, 1),
+		lastView:  make(chan struct{}, viewWatchers),
+		interval:  settings.Beat,
+		stale:     map[string]int64{},
+		exchanged: map[string]*exchangeState{},
+	}
+}
+
+func leaderKey(centre string) string { return leaderPrefix + centre }
+
+const leaderPrefix = "leader/"
+
+// Workers returns the node's supervised tasks.
+func (n *Node) Workers() []supervisor.Worker {
+	return []supervisor.Worker{
+		supervisor.NewWorker("heartbeat", n.runBeats),
+		supervisor.NewWorker("table-sync", n.runSync),
+		supervisor.NewWorker("leader-exchange", n.runExchange),
+		supervisor.NewWorker("nudges", n.runNudges),
+	}
+}
+
+// Register adds the node's methods to a net/rpc server.
+func (n *Node) Register(server *rpc.Server) error {
+	return server.RegisterName("Centre", &Service{node: n})
+}
+
+// Self returns this daemon.
+func (n *Node) Self() Member { return n.settings.Self }
+
+// Centre returns the data centre's name.
+func (n *Node) Centre() string { return n.settings.Centre }
+
+// View returns the view in force; nil before the first.
+func (n *Node) View() *View {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view
+}
+
+// Lease returns the leader's lease, under which orders are given.
+func (n *Node) Lease() *lease.Lease { return n.lease }
+
+// IsLeader tells whether this daemon leads its data centre.
+func (n *Node) IsLeader() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.role != follower
+}
+
+// Owns tells whether this daemon may grant streams of the cell's endpoints now.
+func (n *Node) Owns(id CellID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.view == nil || !n.clock.Now().Before(n.cellsTill) {
+		return false
+	}
+	cell, found := n.view.Cell(id)
+	return found && cell.Owner == n.settings.Self.ID && cell.Address == n.settings.Self.Address
+}
+
+// OwnedCells lists the cells that this daemon owns now.
+func (n *Node) OwnedCells() []Cell {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ownedLocked()
+}
+
+func (n *Node) ownedLocked() []Cell {
+	if n.view == nil || !n.clock.Now().Before(n.cellsTill) {
+		return nil
+	}
+	var cells []Cell
+	for _, cell := range n.view.Cells {
+		if cell.Owner == n.settings.Self.ID && cell.Address == n.settings.Self.Address {
+			cells = append(cells, cell)
+		}
+	}
+	return cells
+}
+
+// Contact says when this daemon last knew all that the table held, directly or
+// through others, and when it last finished trying to find out.
+func (n *Node) Contact() (fresh, attempt time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.freshAt, n.attemptAt
+}
+
+// Nudge makes the next heartbeat and table sync happen now.
+func (n *Node) Nudge() {
+	wake(n.nudge)
+	wake(n.syncNow)
+}
+
+func wake(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
+// NoteVersion remembers that an endpoint was seen to run a weight version, so
+// that the leader can order the load again.
+func (n *Node) NoteVersion(endpoint string, version int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stale[endpoint] = version
+}
+
+// Publish adds notices made here, and tries to bring them into the table at
+// once. The batch number is zero if the table could not be reached; then they
+// spread through the peers and the leader publishes them later.
+func (n *Node) Publish(ctx context.Context, notices ...notice.Notice) (batch int64) {
+	n.notices.Add("", notices...)
+	n.Nudge()
+	for range publishTries {
+		if err := n.journal.Sync(ctx); err != nil {
+			return 0
+		}
+		if !n.journal.Unpublished() {
+			return n.journal.Batches()
+		}
+	}
+	return 0
+}
+
+const publishTries = 5
+
+// Accept makes a document the next version and puts it in force here at once.
+func (n *Node) Accept(ctx context.Context, base *document.Config, mine document.Document, author string) (*document.Config, error) {
+	next, err := n.store.Accept(ctx, base, mine, author)
+	if err != nil {
+		return nil, err
+	}
+	n.advance(next, nil)
+	n.Nudge()
+	return next, nil
+}
+
+// Store returns the document's store.
+func (n *Node) Store() *document.Store { return n.store }
+
+// NoteWarm remembers which endpoints of the owned cells are warm.
+func (n *Node) NoteWarm(endpoints []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.warm = endpoints
+}
+
+// advance puts a configuration in force and remembers the deltas that led to it.
+func (n *Node) advance(next *document.Config, deltas []document.Delta) {
+	if !n.holder.Advance(next) {
+		return
+	}
+	n.log.Info("configuration in force", "version", next.Version(), "digest", next.Digest()[:12])
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(deltas) == 0 || (len(n.recent) > 0 && n.recent[len(n.recent)-1].Version+1 != deltas[0].Version) {
+		n.recent = nil
+	}
+	n.recent = append(n.recent, deltas...)
+	if len(n.recent) > keptRecent {
+		n.recent = n.recent[len(n.recent)-keptRecent:]
+	}
+}
+
+// deltasAfter returns the recent deltas after a version, or none if there is a
+// gap.
+func (n *Node) deltasAfter(version int64) []document.Delta {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, delta := range n.recent {
+		if delta.Version == version+1 {
+			return append([]document.Delta(nil), n.recent[i:]...)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/src/centre/sync.go
@@ -0,0 +1,420 @@
+package centre
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/document"
+	"sesamepitch/src/lease"
+	"sesamepitch/src/notice"
+	"sesamepitch/src/platform"
+)
+
+const (
+	remotesEvery   = 5 * time.Second
+	statusEvery    = 10 * time.Second
+	nudgeDelay     = 20 * time.Millisecond
+	exchangeFanOut = 3
+)
+
+// runSync keeps a leader in step with the platform: lease, notices,
+// configuration, live list, status.
+func (n *Node) runSync(ctx context.Context) error {
+	var books syncBooks
+	for {
+		if n.IsLeader() {
+			n.sync(ctx, &books)
+		}
+		select {
+		case <-n.clock.After(n.settings.Beat):
+		case <-n.syncNow:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// syncBooks remembers what a leader last wrote to or read from the table.
+type syncBooks struct {
+	remotesAt time.Time
+	status    Status
+	statusAt  time.Time
+}
+
+func (n *Node) sync(ctx context.Context, books *syncBooks) {
+	if err := n.lease.Step(ctx); err == nil {
+		n.checkLead()
+	}
+	started := n.clock.Now()
+	err := n.pullAll(ctx)
+	n.mu.Lock()
+	n.attemptAt = n.clock.Now()
+	if err == nil {
+		n.freshenLocked(started)
+	}
+	n.mu.Unlock()
+	if err != nil {
+		n.log.Info("platform out of reach", "centre", n.settings.Centre, "kind", sesamepitch.KindOf(err), "cause", err.Error())
+		return
+	}
+	n.syncedBatches.Store(n.journal.Batches())
+	n.pullLists(ctx, books)
+	n.writeStatus(ctx, books)
+}
+
+// checkLead compares the role with the lease's row: a caretaker that took the
+// lease is elected, and a leader whose row names another steps down.
+func (n *Node) checkLead() {
+	epoch, _, held := n.lease.Held()
+	record := n.lease.Record()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.role == follower {
+		return
+	}
+	if held {
+		if n.role == caretaker || n.epoch.Table != epoch {
+			n.role = elected
+			n.epoch = Epoch{Table: epoch}
+			n.lead.epoch = n.epoch
+			wake(n.nudge)
+		}
+		return
+	}
+	if record.Holder != "" && record.Address != n.settings.Self.Address && record.Epoch > n.epoch.Table {
+		n.log.Info("leader steps down", "reason", "lease taken", "holder", record.Holder)
+		n.stepDownLocked()
+		wake(n.nudge)
+	}
+}
+
+// pullAll reads what the table holds. Notices are pushed, too.
+func (n *Node) pullAll(ctx context.Context) error {
+	if err := n.journal.Sync(ctx); err != nil {
+		return err
+	}
+	deltas, next, err := n.store.Follow(ctx, n.holder.Current())
+	if err != nil {
+		return err
+	}
+	if next.Version() > n.holder.Current().Version() {
+		n.advance(next, deltas)
+		wake(n.nudge)
+		n.nudgeMembers()
+	}
+	return nil
+}
+
+// pullLists reads the live list and, now and then, the other leaders.
+func (n *Node) pullLists(ctx context.Context, books *syncBooks) {
+	live, err := n.platform.Live(ctx)
+	if err != nil {
+		return
+	}
+	var leaving []string
+	listed := map[string]string{}
+	for _, liveness := range live {
+		if liveness.Centre != n.settings.Centre {
+			continue
+		}
+		listed[liveness.Name] = liveness.State
+		if liveness.State == sesamepitch.StateLeaving {
+			leaving = append(leaving, liveness.Name)
+		}
+	}
+	remotes := n.readRemotes(ctx, books)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listed = listed
+	if n.lead == nil {
+		return
+	}
+	changed := strings.Join(leaving, " ") != strings.Join(n.lead.leaving, " ")
+	n.lead.leaving = leaving
+	if remotes != nil {
+		n.lead.remotes = remotes
+	}
+	if changed {
+		wake(n.nudge)
+	}
+}
+
+// Listed returns the state of each endpoint in the platform's live list as
+// this leader last read it; nil before.
+func (n *Node) Listed() map[string]string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.listed
+}
+
+func (n *Node) readRemotes(ctx context.Context, books *syncBooks) []Remote {
+	now := n.clock.Now()
+	if now.Sub(books.remotesAt) < remotesEvery {
+		return nil
+	}
+	rows, err := n.platform.List(ctx, leaderPrefix)
+	if err != nil {
+		return nil
+	}
+	books.remotesAt = now
+	return n.decodeRemotes(rows)
+}
+
+func (n *Node) decodeRemotes(rows []sesamepitch.Row) []Remote {
+	remotes := []Remote{}
+	for _, row := range rows {
+		name := strings.TrimPrefix(row.Key, leaderPrefix)
+		address, ok := recordAddress(row)
+		if ok && name != n.settings.Centre {
+			remotes = append(remotes, Remote{Centre: name, Address: address})
+		}
+	}
+	sort.Slice(remotes, func(i, j int) bool { return remotes[i].Centre < remotes[j].Centre })
+	return remotes
+}
+
+// nudgeMembers asks every member for its heartbeat now.
+func (n *Node) nudgeMembers() { wake(n.lastView) }
+
+// runNudges passes a leader's news on at once, when notices or the view change.
+func (n *Node) runNudges(ctx context.Context) error {
+	watch := n.notices.Watch()
+	for {
+		select {
+		case <-watch:
+			wake(n.syncNow)
+			wake(n.nudge)
+		case <-n.lastView:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		select {
+		case <-n.clock.After(nudgeDelay):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		n.callMembers(ctx)
+	}
+}
+
+func (n *Node) callMembers(ctx context.Context) {
+	n.mu.Lock()
+	var addresses []string
+	if n.lead != nil {
+		for _, member := range n.liveMembers() {
+			if member.ID != n.settings.Self.ID {
+				addresses = append(addresses, member.Address)
+			}
+		}
+	}
+	n.mu.Unlock()
+	done := make(chan struct{}, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			calling, cancel := context.WithTimeout(ctx, n.callTime())
+			defer cancel()
+			_ = n.dialer.Call(calling, address, "Centre.Nudge", NudgeArgs{}, &NudgeReply{})
+		}()
+	}
+	for range addresses {
+		<-done
+	}
+}
+
+// noticesFor returns the notices that a peer has not read yet.
+func (n *Node) noticesFor(read NoticeState, address string) ([]notice.Notice, NoticeState) {
+	index := 0
+	if read.Set == n.notices.ID() {
+		index = read.Index
+	}
+	notices, next := n.notices.Since(index, address)
+	return notices, NoticeState{Set: n.notices.ID(), Index: next}
+}
+
+// runExchange lets a leader learn from the other data centres' leaders: from
+// a few at random, or from all while the table is out of reach.
+func (n *Node) runExchange(ctx context.Context) error {
+	for {
+		if n.IsLeader() {
+			for _, remote := range n.pickRemotes() {
+				n.exchange(ctx, remote)
+			}
+		}
+		select {
+		case <-n.clock.After(n.settings.Beat):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (n *Node) pickRemotes() []Remote {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lead == nil {
+		return nil
+	}
+	remotes := append([]Remote(nil), n.lead.remotes...)
+	if n.clock.Now().Sub(n.freshAt) > 2*n.settings.Beat+n.callTime() {
+		return remotes
+	}
+	rand.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
+	return remotes[:min(len(remotes), exchangeFanOut)]
+}
+
+func (n *Node) exchange(ctx context.Context, remote Remote) {
+	n.mu.Lock()
+	state := n.exchanged[remote.Address]
+	if state == nil {
+		state = &exchangeState{}
+		n.exchanged[remote.Address] = state
+	}
+	args := ExchangeArgs{Centre: n.settings.Centre, Config: n.holder.Current().Version(), Read: state.read}
+	n.mu.Unlock()
+	next := 0
+	args.Notices, next = n.notices.Since(state.sent, remote.Address)
+	sent := n.clock.Now()
+	calling, cancel := context.WithTimeout(ctx, n.callTime())
+	defer cancel()
+	var reply ExchangeReply
+	if err := n.dialer.Call(calling, remote.Address, "Centre.Exchange", args, &reply); err != nil || !reply.Leading {
+		return
+	}
+	n.notices.Add(remote.Address, reply.Notices...)
+	if !n.takeExchanged(reply) {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	state.sent, state.read = next, reply.Read
+	if reply.Age >= 0 {
+		n.freshenLocked(sent.Add(-reply.Age))
+	}
+}
+
+// exchangeState is how far two leaders have read each other's notices.
+type exchangeState struct {
+	sent int
+	read NoticeState
+}
+
+func (n *Node) takeExchanged(reply ExchangeReply) bool {
+	current := n.holder.Current()
+	if reply.Config <= current.Version() {
+		return true
+	}
+	next, err := document.Advance(current, reply.Deltas)
+	if err != nil || next.Version() < reply.Config {
+		if reply.Document == nil {
+			return false
+		}
+		next = document.NewConfig(reply.Config, *reply.Document)
+	}
+	n.advance(next, reply.Deltas)
+	wake(n.nudge)
+	n.nudgeMembers()
+	return true
+}
+
+// Exchange answers the leader of another data centre.
+func (s *Service) Exchange(args ExchangeArgs, reply *ExchangeReply) error {
+	n := s.node
+	if !n.IsLeader() {
+		return nil
+	}
+	reply.Leading = true
+	peer := "centre:" + args.Centre
+	n.notices.Add(peer, args.Notices...)
+	reply.Notices, reply.Read = n.noticesFor(args.Read, peer)
+	current := n.holder.Current()
+	reply.Config = current.Version()
+	if args.Config < reply.Config {
+		reply.Deltas = n.deltasAfter(args.Config)
+		if reply.Deltas == nil {
+			reply.Document = n.wholeDocument()
+		}
+	}
+	fresh, _ := n.Contact()
+	reply.Age = -1
+	if !fresh.IsZero() {
+		reply.Age = n.clock.Now().Sub(fresh)
+	}
+	return nil
+}
+
+func recordAddress(row sesamepitch.Row) (string, bool) {
+	var record lease.Record
+	err := json.Unmarshal(row.Value, &record)
+	return record.Address, err == nil && record.Address != ""
+}
+
+// MemberStatus is what one daemon has in force.
+type MemberStatus struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Config  int64  `json:"config"`
+	// Batches counts the batches of the notices' log that it holds.
+	Batches int64 `json:"batches"`
+}
+
+// Status is a data centre's row in the table, written by its leader.
+type Status struct {
+	Centre  string         `json:"centre"`
+	Leader  string         `json:"leader"`
+	Epoch   int64          `json:"epoch"`
+	Members []MemberStatus `json:"members"`
+	At      time.Time      `json:"at"`
+}
+
+// StatusPrefix is where the data centres' status rows stand.
+const StatusPrefix = "status/"
+
+func (n *Node) writeStatus(ctx context.Context, books *syncBooks) {
+	status, leading := n.Status()
+	if !leading {
+		return
+	}
+	now := n.clock.Now()
+	if sameStatus(status, books.status) && now.Sub(books.statusAt) < statusEvery {
+		return
+	}
+	_, err := n.platform.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: StatusPrefix + n.settings.Centre, Value: platform.Encode(status)}}})
+	if err == nil {
+		books.status, books.statusAt = status, now
+	}
+}
+
+func sameStatus(a, b Status) bool {
+	if a.Leader != b.Leader || a.Epoch != b.Epoch || len(a.Members) != len(b.Members) {
+		return false
+	}
+	for i := range a.Members {
+		if a.Members[i] != b.Members[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Status returns the data centre's state; leading is false at a follower,
+// which knows only itself.
+func (n *Node) Status() (status Status, leading bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	status = Status{Centre: n.settings.Centre, Leader: n.leader.ID, Epoch: n.epoch.Table, At: n.clock.Now()}
+	if n.lead == nil {
+		status.Members = []MemberStatus{{ID: n.settings.Self.ID, Address: n.settings.Self.Address, Config: n.holder.Current().Version()}}
+		return status, false
+	}
+	for _, member := range n.liveMembers() {
+		state := n.lead.members[member.ID]
+		status.Members = append(status.Members, MemberStatus{ID: member.ID, Address: member.Address, Config: state.config, Batches: state.batches})
+	}
+	return status, true
+}
--- /dev/null
+++ b/src/clock.go
@@ -0,0 +1,20 @@
+package sesamepitch
+
+import "time"
+
+// Clock tells the time; tests pass a fake one.
+type Clock interface {
+	// Now returns the current time.
+	Now() time.Time
+	// After sends the time on the returned channel once d has passed.
+	After(d time.Duration) <-chan time.Time
+}
+
+// SystemClock is the Clock of the operating system.
+type SystemClock struct{}
+
+// Now returns the system's time.
+func (SystemClock) Now() time.Time { return time.Now() }
+
+// After is time.After.
+func (SystemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
--- /dev/null
+++ b/src/endpoint/endpoint.go
@@ -0,0 +1,363 @@
+// Package endpoint sends requests to model engines, judges and plain services.
+// Every request is written anew from checked parts: nothing of the caller's
+// headers, query or cookies is passed on unless it is named here.
+package endpoint
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/pool"
+)
+
+const (
+	dialTimeout      = 2 * time.Second
+	firstByteTimeout = 30 * time.Second
+	idlePerHost      = 64
+	maxAnswer        = 16 << 20 // bytes
+	maxLine          = 1 << 20  // bytes
+	endMark          = "[DONE]"
+)
+
+var (
+	errLeak      = errors.New("the request holds the caller's key")
+	errCrossed   = errors.New("the answer belongs to another request")
+	errTruncated = errors.New("the stream ended without its end mark")
+	errStale     = errors.New("the endpoint runs older weights")
+)
+
+// Client sends requests to endpoints.
+type Client struct {
+	engines  *http.Client
+	services *http.Client
+	stall    time.Duration
+	source   string
+}
+
+// Option changes a Client at construction.
+type Option func(*Client)
+
+// WithStall sets how long a stream may stand still before it is broken off.
+func WithStall(d time.Duration) Option {
+	return func(c *Client) { c.stall = d }
+}
+
+// WithSource sets the IP to send from.
+func WithSource(source string) Option {
+	return func(c *Client) { c.source = source }
+}
+
+const defaultStall = 30 * time.Second
+
+// New returns a client. It follows no redirects and uses no proxy.
+func New(options ...Option) *Client {
+	c := &Client{stall: defaultStall}
+	for _, option := range options {
+		option(c)
+	}
+	dialer := sesamepitch.NewDialer(c.source, dialTimeout)
+	c.engines = &http.Client{
+		CheckRedirect: noRedirect,
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost,
+			ResponseHeaderTimeout: firstByteTimeout, DisableCompression: true,
+		},
+	}
+	// A fresh connection for each call of a service, so that a failed dial is
+	// the only case in which nothing was sent.
+	c.services = &http.Client{
+		CheckRedirect: noRedirect,
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+		},
+	}
+	return c
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Completion is a request to an engine.
+type Completion struct {
+	ID         string
+	Model      string
+	Prompt     string
+	MaxTokens  int
+	MinVersion int64
+	Sampling   Sampling
+	// Secret is the caller's key, which must not be in the request.
+	Secret string
+}
+
+// Sampling is the part of a caller's request that the engine alone reads.
+type Sampling struct {
+	Temperature *float64 `json:"temperature,omitempty"`
+	TopP        *float64 `json:"top_p,omitempty"`
+	Seed        *int64   `json:"seed,omitempty"`
+	Stop        []string `json:"stop,omitempty"`
+}
+
+// completionBody is the request as the model servers read it.
+type completionBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	Sampling
+}
+
+// Chunk is one event of an engine's stream with the weight version that made it.
+type Chunk struct {
+	ID      string `json:"id"`
+	Text    string `json:"text"`
+	Tokens  int    `json:"tokens"`
+	Version int64  `json:"weight_version"`
+}
+
+// Complete streams a completion and calls each with every chunk. An error of
+// kind KindUnavailable means that no byte was sent, KindStale that a chunk's
+// weights were older than MinVersion, KindCrashed that the engine broke off.
+func (c *Client) Complete(ctx context.Context, address string, completion Completion, each func(Chunk) error) error {
+	body, err := json.Marshal(completionBody{Model: completion.Model, Prompt: completion.Prompt, MaxTokens: completion.MaxTokens, Stream: true, Sampling: completion.Sampling})
+	if err != nil {
+		return fail(sesamepitch.KindInvalid, err)
+	}
+	if leaks(body, completion.Secret) {
+		return fail(sesamepitch.KindDenied, errLeak)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return fail(sesamepitch.KindInvalid, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Request-Id", completion.ID)
+	response, err := c.engines.Do(request)
+	if err != nil {
+		return fail(sentKind(ctx, err), err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fail(sesamepitch.KindCrashed, fmt.Errorf("status %d", response.StatusCode))
+	}
+	watchdog := time.AfterFunc(c.stall, cancel)
+	defer watchdog.Stop()
+	return readStream(ctx, response.Body, completion, func(chunk Chunk) error {
+		watchdog.Reset(c.stall)
+		return each(chunk)
+	})
+}
+
+// leaks tells whether an outgoing request holds the caller's key.
+func leaks(content []byte, secret string) bool {
+	return secret != "" && bytes.Contains(content, []byte(secret))
+}
+
+func readStream(ctx context.Context, body io.Reader, completion Completion, each func(Chunk) error) error {
+	scanner := bufio.NewScanner(io.LimitReader(body, maxAnswer))
+	scanner.Buffer(make([]byte, 0, 4096), maxLine)
+	for scanner.Scan() {
+		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
+		if !isData {
+			continue
+		}
+		if data == endMark {
+			return nil
+		}
+		var chunk Chunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return fail(sesamepitch.KindCrashed, err)
+		}
+		if chunk.ID != completion.ID {
+			return fail(sesamepitch.KindCrashed, errCrossed)
+		}
+		if err := each(chunk); err != nil {
+			return err
+		}
+		if chunk.Version < completion.MinVersion {
+			return fail(sesamepitch.KindStale, errStale)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return fail(sentKind(ctx, err), err)
+	}
+	return fail(sesamepitch.KindCrashed, errTruncated)
+}
+
+func fail(kind sesamepitch.Kind, err error) error {
+	return &Error{Op: "endpoint.call", Kind: kind, Err: err}
+}
+
+// sentKind tells a request that was never sent from one that may have run.
+func sentKind(ctx context.Context, err error) sesamepitch.Kind {
+	var dial *net.OpError
+	switch {
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return sesamepitch.KindUnavailable
+	case ctx.Err() != nil:
+		return sesamepitch.KindTimeout
+	default:
+		return sesamepitch.KindCrashed
+	}
+}
+
+// Call is a request to a plain service.
+type Call struct {
+	ID          string
+	Method      string
+	Path        string
+	Query       string
+	ContentType string
+	Body        []byte
+	Secret      string
+}
+
+// Answer is a service's whole answer.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Invoke calls a plain service once. An error of kind KindUnavailable means
+// that no byte was sent; after any other error the call may have run.
+func (c *Client) Invoke(ctx context.Context, address string, call Call) (Answer, error) {
+	target := "http://" + address + call.Path
+	if call.Query != "" {
+		target += "?" + call.Query
+	}
+	if leaks([]byte(target+call.ContentType), call.Secret) || leaks(plainForm(call.Body), call.Secret) {
+		return Answer{}, fail(sesamepitch.KindDenied, errLeak)
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, target, bytes.NewReader(call.Body))
+	if err != nil {
+		return Answer{}, fail(sesamepitch.KindInvalid, err)
+	}
+	request.Header.Set("X-Request-Id", call.ID)
+	if call.ContentType != "" {
+		request.Header.Set("Content-Type", call.ContentType)
+	}
+	response, err := c.services.Do(request)
+	if err != nil {
+		kind := sentKind(ctx, err)
+		if kind == sesamepitch.KindTimeout {
+			kind = sesamepitch.KindUnknown
+		}
+		return Answer{}, fail(kind, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	if err != nil || len(body) > maxAnswer {
+		return Answer{}, fail(sesamepitch.KindUnknown, fmt.Errorf("answer cut short: %w", err))
+	}
+	return Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// plainForm undoes JSON escapes, so that a key cannot hide behind them.
+func plainForm(body []byte) []byte {
+	var value any
+	if err := json.Unmarshal(body, &value); err != nil {
+		return body
+	}
+	plain, err := json.Marshal(value)
+	if err != nil {
+		return body
+	}
+	return append(plain, body...)
+}
+
+// judged is a judge's input.
+type judged struct {
+	Prompt string `json:"prompt"`
+	Text   string `json:"text"`
+}
+
+// judgement is a judge's answer.
+type judgement struct {
+	Score *float64 `json:"score"`
+}
+
+// Judge asks a judge for the score of a sample.
+func (c *Client) Judge(ctx context.Context, address, id, prompt, text string) (float64, error) {
+	body, err := json.Marshal(judged{Prompt: prompt, Text: text})
+	if err != nil {
+		return 0, fail(sesamepitch.KindInvalid, err)
+	}
+	answer, err := c.Invoke(ctx, address, Call{ID: id, Method: http.MethodPost, Path: "/judge", ContentType: "application/json", Body: body})
+	if err != nil {
+		return 0, err
+	}
+	var verdict judgement
+	if err := json.Unmarshal(answer.Body, &verdict); err != nil || verdict.Score == nil || answer.Status != http.StatusOK {
+		return 0, fail(sesamepitch.KindCrashed, fmt.Errorf("status %d without a score", answer.Status))
+	}
+	return *verdict.Score, nil
+}
+
+// loadAnswer is an engine's load report.
+type loadAnswer struct {
+	Running int   `json:"running"`
+	Version int64 `json:"version"`
+	Cold    bool  `json:"cold"`
+}
+
+const controlTimeout = 800 * time.Millisecond
+
+// ReadLoad reads an engine's lagging load report.
+func (c *Client) ReadLoad(ctx context.Context, address string) (pool.Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
+	if err != nil {
+		return pool.Load{}, fail(sesamepitch.KindInvalid, err)
+	}
+	response, err := c.engines.Do(request)
+	if err != nil {
+		return pool.Load{}, fail(sesamepitch.KindUnavailable, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var load loadAnswer
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxLine)).Decode(&load); err != nil {
+		return pool.Load{}, fail(sesamepitch.KindUnavailable, err)
+	}
+	return pool.Load{Version: load.Version, Cold: load.Cold}, nil
+}
+
+// loadOrder asks an engine to load a weight version.
+type loadOrder struct {
+	Version  int64     `json:"version"`
+	Fence    int64     `json:"fence"`
+	NotAfter time.Time `json:"not_after"`
+}
+
+// OrderLoad asks an engine, over a guarded transport, to load a version.
+func OrderLoad(ctx context.Context, guarded http.RoundTripper, address string, version, fence int64, notAfter time.Time) error {
+	body, err := json.Marshal(loadOrder{Version: version, Fence: fence, NotAfter: notAfter})
+	if err != nil {
+		return fail(sesamepitch.KindInvalid, err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders/load", bytes.NewReader(body))
+	if err != nil {
+		return fail(sesamepitch.KindInvalid, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := guarded.RoundTrip(request)
+	if err != nil {
+		return fail(sentKind(ctx, err), err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fail(sesamepitch.KindConflict, fmt.Errorf("status %d", response.StatusCode))
+	}
+	return nil
+}
--- /dev/null
+++ b/src/entry/service.go
@@ -0,0 +1,267 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"path"
+	"strings"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/call"
+	"sesamepitch/src/document"
+	"sesamepitch/src/endpoint"
+	"sesamepitch/src/pool"
+
+	"github.com/google/uuid"
+)
+
+const (
+	serviceTime      = 2 * time.Minute
+	serviceTries     = 4
+	journalTime      = 2 * time.Second
+	maxIdempotency   = 256
+	idempotencyField = "Idempotency-Key"
+)
+
+// credentialFields are query fields that callers put keys in; none is passed on.
+var credentialFields = []string{"key", "api_key", "apikey", "api-key", "token", "access_token", "authorization", "auth"}
+
+// invocation is one checked call of a service.
+type invocation struct {
+	service    document.Service
+	workspace  document.Workspace
+	call       endpoint.Call
+	idempotent string
+}
+
+func (s *Server) service(ctx context.Context, w http.ResponseWriter, r *http.Request, caller Caller) error {
+	const operation = "service"
+	in, err := s.readInvocation(w, r, r.PathValue("service"), "/"+r.PathValue("path"), caller.workspace)
+	if err != nil {
+		fail(ctx, w, operation, err, call.RanNo)
+		return err
+	}
+	in.call.Secret = caller.secret
+	return s.answerInvocation(ctx, w, operation, in)
+}
+
+// open answers routes that need no key. A key that came all the same is not
+// passed on.
+func (s *Server) open(w http.ResponseWriter, r *http.Request) {
+	const operation = "open"
+	started := s.Clock.Now()
+	err := s.answerOpen(w, r, operation)
+	s.Observer.Request(operation, sesamepitch.KindOf(err), s.Clock.Now().Sub(started))
+}
+
+func (s *Server) answerOpen(w http.ResponseWriter, r *http.Request, operation string) error {
+	config := s.Holder.Current()
+	route, found := config.OpenRoute(r.URL.Path)
+	if !found {
+		err := &Error{Op: "entry.route", Kind: sesamepitch.KindNotFound, Err: errors.New("no such route")}
+		fail(r.Context(), w, operation, err, call.RanNo)
+		return err
+	}
+	workspace, _ := config.Workspace(route.Workspace)
+	if err := s.enter(workspace); err != nil {
+		fail(r.Context(), w, operation, err, call.RanNo)
+		return err
+	}
+	defer s.leave(workspace)
+	in, err := s.readInvocation(w, r, route.Service, r.URL.Path, workspace)
+	if err != nil {
+		fail(r.Context(), w, operation, err, call.RanNo)
+		return err
+	}
+	if values := r.Header.Values("Authorization"); len(values) > 0 {
+		if secret, err := bearer(r); err == nil {
+			in.call.Secret = secret
+		}
+	}
+	return s.answerInvocation(r.Context(), w, operation, in)
+}
+
+func (s *Server) readInvocation(w http.ResponseWriter, r *http.Request, service, target string, workspace document.Workspace) (invocation, error) {
+	config := s.Holder.Current()
+	found, ok := config.Service(service)
+	if !ok || !mayCall(found, workspace.Name) {
+		return invocation{}, &Error{Op: "entry.service", Kind: sesamepitch.KindNotFound, Err: fmt.Errorf("no service %q for this workspace", service)}
+	}
+	body, err := readBody(w, r, config.Limit(document.LimitBodyBytes))
+	if err != nil {
+		return invocation{}, err
+	}
+	keys := r.Header.Values(idempotencyField)
+	if len(keys) > 1 || (len(keys) == 1 && (keys[0] == "" || len(keys[0]) > maxIdempotency)) {
+		return invocation{}, invalid("give at most one %s of 1 to %d bytes", idempotencyField, maxIdempotency)
+	}
+	in := invocation{service: found, workspace: workspace}
+	if len(keys) == 1 {
+		in.idempotent = keys[0]
+	}
+	in.call = endpoint.Call{
+		ID: uuid.NewString(), Method: r.Method, Path: (&url.URL{Path: path.Clean(target)}).EscapedPath(),
+		Query: cleanQuery(r.URL.Query()), ContentType: r.Header.Get("Content-Type"), Body: body,
+	}
+	return in, nil
+}
+
+func mayCall(service document.Service, workspace string) bool {
+	if len(service.Workspaces) == 0 {
+		return true
+	}
+	for _, name := range service.Workspaces {
+		if name == workspace {
+			return true
+		}
+	}
+	return false
+}
+
+func cleanQuery(query url.Values) string {
+	for name := range query {
+		for _, field := range credentialFields {
+			if strings.EqualFold(name, field) {
+				query.Del(name)
+			}
+		}
+	}
+	return query.Encode()
+}
+
+func (s *Server) answerInvocation(ctx context.Context, w http.ResponseWriter, operation string, in invocation) error {
+	ctx, cancel := context.WithTimeout(ctx, serviceTime)
+	defer cancel()
+	answer, ran, err := s.invoke(ctx, in)
+	if err != nil {
+		fail(ctx, w, operation, err, ran)
+		return err
+	}
+	if answer.ContentType != "" {
+		w.Header().Set("Content-Type", answer.ContentType)
+	}
+	w.WriteHeader(answer.Status)
+	_, err = w.Write(answer.Body)
+	return err
+}
+
+func (s *Server) invoke(ctx context.Context, in invocation) (endpoint.Answer, call.Ran, error) {
+	if in.service.Repeatable {
+		return s.invokeRepeatable(ctx, in)
+	}
+	if in.idempotent == "" {
+		return s.invokeOnce(ctx, in)
+	}
+	return s.invokeJournaled(ctx, in)
+}
+
+// invokeJournaled runs a call at most once for its idempotency key.
+func (s *Server) invokeJournaled(ctx context.Context, in invocation) (endpoint.Answer, call.Ran, error) {
+	fingerprint := sesamepitch.Fingerprint(in.service.Name, in.call.Method, in.call.Path, in.call.Query, string(in.call.Body))
+	intent, earlier, err := s.Calls.Begin(ctx, in.workspace.Name, in.service.Name+"/"+in.idempotent, fingerprint)
+	switch {
+	case err != nil && sesamepitch.KindOf(err) == sesamepitch.KindUnknown:
+		return endpoint.Answer{}, call.RanUnknown, err
+	case err != nil:
+		return endpoint.Answer{}, call.RanNo, err
+	case earlier != nil:
+		return endpoint.Answer{Status: earlier.Status, ContentType: earlier.ContentType, Body: earlier.Body}, call.RanYes, nil
+	}
+	answer, ran, err := s.invokeOnce(ctx, in)
+	// The row is settled also if the caller has gone meanwhile.
+	settling, cancel := context.WithTimeout(context.WithoutCancel(ctx), journalTime)
+	defer cancel()
+	switch {
+	case err == nil:
+		if err := s.Calls.Finish(settling, intent, answer.Status, answer.ContentType, answer.Body); err != nil {
+			s.Log.Info("answer not recorded", "service", in.service.Name, "workspace", in.workspace.Name, "kind", sesamepitch.KindOf(err))
+		}
+	case ran == call.RanNo:
+		_ = s.Calls.Abandon(settling, intent)
+	}
+	return answer, ran, err
+}
+
+// invokeOnce sends a call at most once: it goes to another endpoint only if no
+// byte was sent.
+func (s *Server) invokeOnce(ctx context.Context, in invocation) (endpoint.Answer, call.Ran, error) {
+	var avoid []string
+	for number := 1; ; number++ {
+		stream, err := s.acquire(ctx, in, avoid)
+		if err != nil {
+			return endpoint.Answer{}, call.RanNo, err
+		}
+		answer, err := s.send(stream, in)
+		if err == nil {
+			return answer, call.RanYes, nil
+		}
+		switch sesamepitch.KindOf(err) {
+		case sesamepitch.KindDenied, sesamepitch.KindInvalid:
+			return endpoint.Answer{}, call.RanNo, err
+		case sesamepitch.KindUnavailable:
+			if number >= serviceTries {
+				return endpoint.Answer{}, call.RanNo, err
+			}
+			avoid = []string{stream.Endpoint()}
+		default:
+			return endpoint.Answer{}, call.RanUnknown, &Error{Op: "entry.service", Kind: sesamepitch.KindUnknown, Err: err}
+		}
+	}
+}
+
+func (s *Server) invokeRepeatable(ctx context.Context, in invocation) (endpoint.Answer, call.Ran, error) {
+	var avoid []string
+	ran := call.RanNo
+	for number := 1; ; number++ {
+		stream, err := s.acquire(ctx, in, avoid)
+		if err != nil {
+			return endpoint.Answer{}, ran, err
+		}
+		answer, err := s.send(stream, in)
+		if err == nil {
+			return answer, call.RanYes, nil
+		}
+		kind := sesamepitch.KindOf(err)
+		if kind == sesamepitch.KindDenied || kind == sesamepitch.KindInvalid {
+			return endpoint.Answer{}, ran, err
+		}
+		if kind != sesamepitch.KindUnavailable {
+			ran = call.RanUnknown
+		}
+		if ctx.Err() != nil || number >= serviceTries {
+			return endpoint.Answer{}, ran, err
+		}
+		avoid = []string{stream.Endpoint()}
+	}
+}
+
+func (s *Server) acquire(ctx context.Context, in invocation, avoid []string) (*pool.Stream, error) {
+	return s.Streams.Acquire(ctx, pool.Ask{
+		Pool: in.service.Name, Workspace: in.workspace.Name, Weight: in.workspace.Weight,
+		Interactive: in.workspace.Class == document.Interactive, Tokens: 1,
+		Deadline: s.Clock.Now().Add(serviceTime), Avoid: avoid,
+	})
+}
+
+func (s *Server) send(stream *pool.Stream, in invocation) (endpoint.Answer, error) {
+	in.call.ID = stream.ID()
+	answer, err := s.Services.Invoke(stream.Context(), stream.Address(), in.call)
+	release := pool.Release{Outcome: pool.Whole}
+	switch sesamepitch.KindOf(err) {
+	case "":
+		release.Billed = true
+		release.Record = s.Recorder.Record(in.workspace.Name, 0, 0)
+	case sesamepitch.KindUnavailable:
+		release.Outcome = pool.Refused
+	case sesamepitch.KindDenied, sesamepitch.KindInvalid:
+		release.Outcome = pool.Cancelled
+	default:
+		release.Outcome = pool.Crashed
+	}
+	s.Streams.Release(stream, release)
+	return answer, err
+}
--- /dev/null
+++ b/src/lease/guard.go
@@ -0,0 +1,47 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+)
+
+const dialTimeout = time.Second
+
+var errNotHeld = errors.New("the lease is not held any more")
+
+// guardedConn asks the lease right before each write, so that a process that
+// was frozen between its decision and its send does not send.
+type guardedConn struct {
+	net.Conn
+	lease *Lease
+}
+
+// Write sends b only while the lease is held.
+func (c guardedConn) Write(b []byte) (int, error) {
+	if _, _, held := c.lease.Held(); !held {
+		_ = c.Close()
+		return 0, &Error{Op: "lease.guard", Kind: sesamepitch.KindUnavailable, Err: errNotHeld}
+	}
+	return c.Conn.Write(b)
+}
+
+// Guard returns a transport whose connections send only while the lease is
+// held. Connections are not kept, so that no byte waits in one.
+func Guard(l *Lease, source string) *http.Transport {
+	dialer := sesamepitch.NewDialer(source, dialTimeout)
+	return &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return guardedConn{Conn: conn, lease: l}, nil
+		},
+	}
+}
--- /dev/null
+++ b/src/lease/lease.go
@@ -0,0 +1,223 @@
+// Package lease lets one process at a time be in charge of something, by a
+// row of the platform's table. The holder stops a margin before its lease can
+// be taken over; a contender judges by its own clock for how long the row has
+// not changed, so clocks need not agree.
+package lease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/platform"
+)
+
+// Record is the lease's row. Epoch is the fencing number: it grows with each
+// new holder.
+type Record struct {
+	Holder  string `json:"holder"`
+	Address string `json:"address"`
+	Epoch   int64  `json:"epoch"`
+	Renewal int64  `json:"renewal"`
+}
+
+// Settings are the lease's times. A holder counts on the lease for TTL−Margin
+// after it sent its last renewal; a contender waits TTL+Margin.
+type Settings struct {
+	TTL    time.Duration
+	Margin time.Duration
+}
+
+// Lease is one process's view of one lease.
+type Lease struct {
+	clock    sesamepitch.Clock
+	table    sesamepitch.Table
+	key      string
+	holder   string
+	address  string
+	settings Settings
+
+	mu       sync.Mutex
+	held     bool
+	until    time.Time
+	record   Record
+	version  int64
+	seenAt   time.Time
+	observed bool
+}
+
+// New returns a lease on key for a holder, whose name must be used by no
+// other process, also not by an earlier run of the same instance.
+func New(clock sesamepitch.Clock, table sesamepitch.Table, key, holder, address string, settings Settings) *Lease {
+	return &Lease{clock: clock, table: table, key: key, holder: holder, address: address, settings: settings}
+}
+
+// Held returns the fencing number and the time until which this process is in
+// charge; ok is false if it is not.
+func (l *Lease) Held() (epoch int64, until time.Time, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.held || !l.clock.Now().Before(l.until) {
+		return 0, time.Time{}, false
+	}
+	return l.record.Epoch, l.until, true
+}
+
+// Record returns the row as last seen.
+func (l *Lease) Record() Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.record
+}
+
+// Step renews a held lease, or takes it if it has lapsed. An error means that
+// the table could not be asked.
+func (l *Lease) Step(ctx context.Context) error {
+	if l.isHolder() {
+		return l.renew(ctx)
+	}
+	if err := l.observe(ctx); err != nil {
+		return err
+	}
+	if l.lapsed() {
+		return l.take(ctx)
+	}
+	return nil
+}
+
+// Release gives a held lease up, so that a contender need not wait. The
+// caller must have stopped all that it did under the lease.
+func (l *Lease) Release(ctx context.Context) error {
+	l.mu.Lock()
+	held, version := l.held, l.version
+	next := Record{Epoch: l.record.Epoch}
+	l.held = false
+	l.mu.Unlock()
+	if !held {
+		return nil
+	}
+	_, err := l.table.Commit(ctx, l.txn(version, next))
+	return err
+}
+
+func (l *Lease) isHolder() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held
+}
+
+func (l *Lease) txn(version int64, next Record) sesamepitch.Txn {
+	return sesamepitch.Txn{
+		Checks: []sesamepitch.Check{{Key: l.key, Version: version}},
+		Writes: []sesamepitch.Write{{Key: l.key, Value: platform.Encode(next)}},
+	}
+}
+
+func (l *Lease) renew(ctx context.Context) error {
+	l.mu.Lock()
+	next, version := l.record, l.version
+	l.mu.Unlock()
+	next.Renewal++
+	sent := l.clock.Now()
+	revision, err := l.table.Commit(ctx, l.txn(version, next))
+	switch sesamepitch.KindOf(err) {
+	case "":
+		l.hold(next, revision, sent)
+		return nil
+	case sesamepitch.KindConflict, sesamepitch.KindUnknown:
+		return l.readBack(ctx, sent)
+	default:
+		return err
+	}
+}
+
+// readBack finds out whether a renewal or a take with a lost answer took
+// effect. The row's own write came after sent, so the lease counts from there
+// only if the row changed; else the old end stays.
+func (l *Lease) readBack(ctx context.Context, sent time.Time) error {
+	var row Record
+	version, err := platform.Read(ctx, l.table, l.key, &row)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	mine := row.Holder == l.holder
+	changed := version != l.version
+	l.mu.Unlock()
+	if !mine {
+		l.lose(row, version)
+		return nil
+	}
+	if changed {
+		l.hold(row, version, sent)
+	}
+	return nil
+}
+
+func (l *Lease) hold(record Record, version int64, sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = true
+	l.record = record
+	l.version = version
+	l.until = sent.Add(l.settings.TTL - l.settings.Margin)
+}
+
+func (l *Lease) lose(record Record, version int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = false
+	l.note(record, version)
+}
+
+// note remembers the row and when it last changed; it needs l.mu.
+func (l *Lease) note(record Record, version int64) {
+	if !l.observed || version != l.version {
+		l.seenAt = l.clock.Now()
+	}
+	l.observed = true
+	l.record = record
+	l.version = version
+}
+
+func (l *Lease) observe(ctx context.Context) error {
+	var row Record
+	version, err := platform.Read(ctx, l.table, l.key, &row)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.note(row, version)
+	return nil
+}
+
+func (l *Lease) lapsed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.record.Holder == "" {
+		return true
+	}
+	return l.clock.Now().Sub(l.seenAt) >= l.settings.TTL+l.settings.Margin
+}
+
+func (l *Lease) take(ctx context.Context) error {
+	l.mu.Lock()
+	version := l.version
+	next := Record{Holder: l.holder, Address: l.address, Epoch: l.record.Epoch + 1}
+	l.mu.Unlock()
+	sent := l.clock.Now()
+	revision, err := l.table.Commit(ctx, l.txn(version, next))
+	switch sesamepitch.KindOf(err) {
+	case "":
+		l.hold(next, revision, sent)
+		return nil
+	case sesamepitch.KindConflict:
+		return l.observe(ctx)
+	case sesamepitch.KindUnknown:
+		return l.readBack(ctx, sent)
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/src/operator/server.go
@@ -0,0 +1,402 @@
+// Package operator answers operators: the document, withdrawals, data centres
+// taken out and in, and what is in force where.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/centre"
+	"sesamepitch/src/document"
+	"sesamepitch/src/notice"
+	"sesamepitch/src/pool"
+	"sesamepitch/src/usage"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	maxBody     = 8 << 20 // bytes
+	confirmPoll = 100 * time.Millisecond
+	// confirmTime is how long a change waits for its confirmations.
+	confirmTime = 4 * time.Second
+	// staleStatus is how old a data centre's status may be before its daemons
+	// count as not heard of.
+	staleStatus = 25 * time.Second
+)
+
+// Parts are what a Server works with.
+type Parts struct {
+	Clock   sesamepitch.Clock
+	Log     logr.Logger
+	Node    *centre.Node
+	Holder  *document.Holder
+	Notices *notice.Set
+	Table   sesamepitch.Table
+	Owner   *pool.Owner
+	Usage   *usage.Reporter
+	Metrics http.Handler
+	// TokenHash is the hash of the operators' token; none is asked for if empty.
+	TokenHash string
+}
+
+// Server answers operators.
+type Server struct {
+	Parts
+	mux *http.ServeMux
+}
+
+// New returns the operators' server.
+func New(parts Parts) *Server {
+	s := &Server{Parts: parts, mux: http.NewServeMux()}
+	s.mux.HandleFunc("GET /document", s.getDocument)
+	s.mux.HandleFunc("POST /check", s.check)
+	s.mux.HandleFunc("POST /diff", s.diff)
+	s.mux.HandleFunc("POST /apply", s.apply)
+	s.mux.HandleFunc("POST /withdraw", s.withdraw)
+	s.mux.HandleFunc("POST /centre", s.setCentre)
+	s.mux.HandleFunc("GET /status", s.status)
+	s.mux.HandleFunc("GET /usage", s.usage)
+	s.mux.Handle("GET /metrics", parts.Metrics)
+	return s
+}
+
+// ServeHTTP answers one request of an operator.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.authorized(r) {
+		fail(w, &Error{Op: "operator.authorize", Kind: sesamepitch.KindDenied, Err: errors.New("the operators' token is missing or wrong")})
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) authorized(r *http.Request) bool {
+	if s.TokenHash == "" {
+		return true
+	}
+	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return subtle.ConstantTimeCompare([]byte(sesamepitch.KeyHash(token)), []byte(s.TokenHash)) == 1
+}
+
+// Failure is the body of a failed request.
+type Failure struct {
+	Operation string            `json:"operation"`
+	Kind      sesamepitch.Kind  `json:"kind"`
+	Message   string            `json:"message"`
+	Faults    []document.Fault  `json:"faults,omitempty"`
+	Changes   []document.Change `json:"changes,omitempty"`
+}
+
+func fail(w http.ResponseWriter, err error) {
+	failure := Failure{Operation: "operator", Kind: sesamepitch.KindOf(err), Message: err.Error()}
+	var faults document.Faults
+	if errors.As(err, &faults) {
+		failure.Faults = faults
+	}
+	status := http.StatusInternalServerError
+	switch failure.Kind {
+	case sesamepitch.KindInvalid:
+		status = http.StatusBadRequest
+	case sesamepitch.KindDenied:
+		status = http.StatusUnauthorized
+	case sesamepitch.KindNotFound:
+		status = http.StatusNotFound
+	case sesamepitch.KindConflict:
+		status = http.StatusConflict
+	case sesamepitch.KindUnavailable, sesamepitch.KindUnknown:
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, failure)
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// VersionedDocument is a document with its version.
+type VersionedDocument struct {
+	Version  int64             `json:"version"`
+	Digest   string            `json:"digest"`
+	Document document.Document `json:"document"`
+}
+
+func (s *Server) getDocument(w http.ResponseWriter, _ *http.Request) {
+	current := s.Holder.Current()
+	writeJSON(w, http.StatusOK, VersionedDocument{Version: current.Version(), Digest: current.Digest(), Document: current.Document()})
+}
+
+func readDocument(w http.ResponseWriter, r *http.Request) (document.Document, error) {
+	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		return document.Document{}, &Error{Op: "operator.read", Kind: sesamepitch.KindInvalid, Err: err}
+	}
+	return document.Parse(content)
+}
+
+func (s *Server) check(w http.ResponseWriter, r *http.Request) {
+	if _, err := readDocument(w, r); err != nil {
+		fail(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// Differences are the changes from the version in force to a document.
+type Differences struct {
+	Version int64             `json:"version"`
+	Changes []document.Change `json:"changes"`
+}
+
+func (s *Server) diff(w http.ResponseWriter, r *http.Request) {
+	mine, err := readDocument(w, r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	current := s.Holder.Current()
+	writeJSON(w, http.StatusOK, Differences{Version: current.Version(), Changes: document.Diff(current.Document(), mine)})
+}
+
+// Confirmation says which daemons have a change in force.
+type Confirmation struct {
+	Version     int64    `json:"version,omitempty"`
+	Batch       int64    `json:"batch,omitempty"`
+	Confirmed   []string `json:"confirmed"`
+	Unconfirmed []string `json:"unconfirmed"`
+	// Local is set if the change is known only here and to reachable peers,
+	// because the platform's table could not be reached.
+	Local bool `json:"local,omitempty"`
+}
+
+func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
+	mine, err := readDocument(w, r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	base, err := s.base(r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	next, err := s.Node.Accept(r.Context(), base, mine, r.URL.Query().Get("author"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	s.Log.Info("document accepted", "version", next.Version(), "author", r.URL.Query().Get("author"))
+	confirmation := s.confirm(r.Context(), func(m centre.MemberStatus) bool { return m.Config >= next.Version() })
+	confirmation.Version = next.Version()
+	writeJSON(w, http.StatusOK, confirmation)
+}
+
+func (s *Server) base(r *http.Request) (*document.Config, error) {
+	text := r.URL.Query().Get("base")
+	if text == "" {
+		return nil, nil
+	}
+	version, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || version < 0 {
+		return nil, &Error{Op: "operator.apply", Kind: sesamepitch.KindInvalid, Err: fmt.Errorf("base %q is no version", text)}
+	}
+	return s.Node.Store().Base(r.Context(), version)
+}
+
+// confirm waits until every daemon of every data centre has a change in force,
+// or the time for it is over.
+func (s *Server) confirm(ctx context.Context, has func(centre.MemberStatus) bool) Confirmation {
+	limit := s.Clock.Now().Add(confirmTime)
+	for {
+		confirmation := s.confirmOnce(ctx, has)
+		if len(confirmation.Unconfirmed) == 0 || s.Clock.Now().After(limit) || ctx.Err() != nil {
+			return confirmation
+		}
+		select {
+		case <-s.Clock.After(confirmPoll):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *Server) confirmOnce(ctx context.Context, has func(centre.MemberStatus) bool) Confirmation {
+	confirmation := Confirmation{Confirmed: []string{}, Unconfirmed: []string{}}
+	statuses, err := s.statuses(ctx)
+	if err != nil {
+		confirmation.Unconfirmed = append(confirmation.Unconfirmed, "all: "+err.Error())
+		return confirmation
+	}
+	for _, status := range statuses {
+		fresh := s.Clock.Now().Sub(status.At) < staleStatus
+		for _, member := range status.Members {
+			name := status.Centre + "/" + member.ID
+			switch {
+			case has(member):
+				confirmation.Confirmed = append(confirmation.Confirmed, name)
+			case fresh:
+				confirmation.Unconfirmed = append(confirmation.Unconfirmed, name)
+			default:
+				confirmation.Unconfirmed = append(confirmation.Unconfirmed, name+" (not heard of since "+status.At.Format(time.TimeOnly)+")")
+			}
+		}
+	}
+	return confirmation
+}
+
+func (s *Server) statuses(ctx context.Context) ([]centre.Status, error) {
+	rows, err := s.Table.List(ctx, centre.StatusPrefix)
+	if err != nil {
+		return nil, err
+	}
+	statuses := []centre.Status{}
+	for _, row := range rows {
+		var status centre.Status
+		if err := json.Unmarshal(row.Value, &status); err != nil {
+			return nil, &Error{Op: "operator.status", Kind: sesamepitch.KindInternal, Err: err}
+		}
+		statuses = append(statuses, status)
+	}
+	sort.Slice(statuses, func(i, j int) bool { return statuses[i].Centre < statuses[j].Centre })
+	return statuses, nil
+}
+
+// Withdrawal names a key by its name in the document, or by its hash.
+type Withdrawal struct {
+	Name string `json:"name,omitempty"`
+	Hash string `json:"hash,omitempty"`
+}
+
+func (s *Server) withdraw(w http.ResponseWriter, r *http.Request) {
+	var in Withdrawal
+	if err := readJSON(w, r, &in); err != nil {
+		fail(w, err)
+		return
+	}
+	hash, err := s.hashOf(in)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	s.publish(r.Context(), w, s.Notices.NewWithdrawal(hash, s.Node.Self().ID))
+}
+
+func (s *Server) hashOf(in Withdrawal) (string, error) {
+	if in.Hash != "" {
+		return in.Hash, nil
+	}
+	for _, key := range s.Holder.Current().Document().Keys {
+		if key.Name == in.Name {
+			return key.Hash, nil
+		}
+	}
+	return "", &Error{Op: "operator.withdraw", Kind: sesamepitch.KindNotFound, Err: fmt.Errorf("no key %q in the document; give its hash", in.Name)}
+}
+
+// publish spreads a notice and answers with who has it.
+func (s *Server) publish(ctx context.Context, w http.ResponseWriter, n notice.Notice) {
+	batch := s.Node.Publish(ctx, n)
+	s.Log.Info("notice published", "kind", n.Kind, "name", shorten(n.Name), "value", n.Value, "batch", batch)
+	if batch == 0 {
+		writeJSON(w, http.StatusOK, Confirmation{Local: true, Confirmed: []string{s.Node.Centre() + "/" + s.Node.Self().ID}, Unconfirmed: []string{"all others: the platform's table is out of reach"}})
+		return
+	}
+	confirmation := s.confirm(ctx, func(m centre.MemberStatus) bool { return m.Batches >= batch })
+	confirmation.Batch = batch
+	writeJSON(w, http.StatusOK, confirmation)
+}
+
+func shorten(name string) string { return name[:min(len(name), 12)] }
+
+// CentreState takes a data centre out or in.
+type CentreState struct {
+	Name  string `json:"name"`
+	State string `json:"state"`
+}
+
+func (s *Server) setCentre(w http.ResponseWriter, r *http.Request) {
+	var in CentreState
+	if err := readJSON(w, r, &in); err != nil {
+		fail(w, err)
+		return
+	}
+	if in.State != notice.Out && in.State != notice.In {
+		fail(w, &Error{Op: "operator.centre", Kind: sesamepitch.KindInvalid, Err: fmt.Errorf("state must be %s or %s", notice.Out, notice.In)})
+		return
+	}
+	if !s.knowsCentre(in.Name) {
+		fail(w, &Error{Op: "operator.centre", Kind: sesamepitch.KindNotFound, Err: fmt.Errorf("no data centre %q in the document", in.Name)})
+		return
+	}
+	s.publish(r.Context(), w, s.Notices.NextCentre(in.Name, in.State, s.Node.Self().ID))
+}
+
+func (s *Server) knowsCentre(name string) bool {
+	for _, c := range s.Holder.Current().Document().DataCentres {
+		if c.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, out any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(out); err != nil {
+		return &Error{Op: "operator.read", Kind: sesamepitch.KindInvalid, Err: err}
+	}
+	return nil
+}
+
+// Status is what one daemon and, if the table can be reached, all know.
+type Status struct {
+	Instance    string            `json:"instance"`
+	Centre      string            `json:"centre"`
+	Leader      bool              `json:"leader"`
+	Config      int64             `json:"config"`
+	ContactAge  string            `json:"contact_age"`
+	CentresOut  []string          `json:"centres_out"`
+	Cells       []pool.CellStatus `json:"cells"`
+	View        *centre.View      `json:"view"`
+	DataCentres []centre.Status   `json:"data_centres"`
+	Platform    string            `json:"platform"`
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	fresh, _ := s.Node.Contact()
+	status := Status{
+		Instance: s.Node.Self().ID, Centre: s.Node.Centre(), Leader: s.Node.IsLeader(),
+		Config: s.Holder.Current().Version(), ContactAge: s.Clock.Now().Sub(fresh).Round(time.Millisecond).String(),
+		CentresOut: []string{}, Cells: s.Owner.Queued(), View: s.Node.View(), Platform: "reachable",
+	}
+	for _, c := range s.Holder.Current().Document().DataCentres {
+		if s.Notices.IsOut(c.Name) {
+			status.CentresOut = append(status.CentresOut, c.Name)
+		}
+	}
+	var err error
+	if status.DataCentres, err = s.statuses(r.Context()); err != nil {
+		status.Platform = err.Error()
+	}
+	writeJSON(w, http.StatusOK, status)
+}
+
+func (s *Server) usage(w http.ResponseWriter, r *http.Request) {
+	list, err := s.Usage.Status(r.Context())
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, list)
+}
--- /dev/null
+++ b/src/peer/peer.go
@@ -0,0 +1,195 @@
+// Package peer calls and serves net/rpc between the daemons.
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+)
+
+const dialTimeout = 700 * time.Millisecond
+
+// Dialer keeps one connection to each peer.
+type Dialer struct {
+	mu      sync.Mutex
+	clients map[string]*rpc.Client
+	traffic *Traffic
+	dialer  *net.Dialer
+}
+
+// Traffic counts the bytes of the connections between daemons.
+type Traffic struct {
+	sent, received atomic.Int64
+}
+
+// Sent returns the bytes sent.
+func (t *Traffic) Sent() int64 { return t.sent.Load() }
+
+// Received returns the bytes received.
+func (t *Traffic) Received() int64 { return t.received.Load() }
+
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read counts the bytes received.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.received.Add(int64(n))
+	return n, err
+}
+
+// Write counts the bytes sent.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.sent.Add(int64(n))
+	return n, err
+}
+
+// NewDialer returns a dialer without connections, which dials from the source
+// IP; any if empty.
+func NewDialer(source string) *Dialer {
+	return &Dialer{clients: map[string]*rpc.Client{}, traffic: &Traffic{}, dialer: sesamepitch.NewDialer(source, dialTimeout)}
+}
+
+// Traffic returns the counts of all connections made or accepted.
+func (d *Dialer) Traffic() *Traffic { return d.traffic }
+
+// Call calls a method of the peer at address. KindUnavailable means that the
+// call was not sent, KindUnknown that its answer is missing.
+func (d *Dialer) Call(ctx context.Context, address, method string, args, reply any) error {
+	client, err := d.client(ctx, address)
+	if err != nil {
+		return &Error{Op: method, Kind: sesamepitch.KindUnavailable, Err: err}
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			d.drop(address, client)
+		}
+		return &Error{Op: method, Kind: sesamepitch.KindUnknown, Err: ctx.Err()}
+	}
+	return d.result(address, method, client, call.Error)
+}
+
+func (d *Dialer) result(address, method string, client *rpc.Client, err error) error {
+	var fromServer rpc.ServerError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &fromServer):
+		return &Error{Op: method, Kind: sesamepitch.KindInternal, Err: err}
+	case errors.Is(err, rpc.ErrShutdown):
+		d.drop(address, client)
+		return &Error{Op: method, Kind: sesamepitch.KindUnavailable, Err: err}
+	default:
+		d.drop(address, client)
+		return &Error{Op: method, Kind: sesamepitch.KindUnknown, Err: err}
+	}
+}
+
+func (d *Dialer) client(ctx context.Context, address string) (*rpc.Client, error) {
+	d.mu.Lock()
+	client := d.clients[address]
+	d.mu.Unlock()
+	if client != nil {
+		return client, nil
+	}
+	conn, err := d.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	client = rpc.NewClient(countedConn{Conn: conn, traffic: d.traffic})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if other := d.clients[address]; other != nil {
+		_ = client.Close()
+		return other, nil
+	}
+	d.clients[address] = client
+	return client, nil
+}
+
+func (d *Dialer) drop(address string, client *rpc.Client) {
+	d.mu.Lock()
+	if d.clients[address] == client {
+		delete(d.clients, address)
+	}
+	d.mu.Unlock()
+	_ = client.Close()
+}
+
+// Close ends all connections.
+func (d *Dialer) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, client := range d.clients {
+		_ = client.Close()
+		delete(d.clients, address)
+	}
+}
+
+// Serve answers peers on listener until ctx ends.
+func (d *Dialer) Serve(ctx context.Context, listener net.Listener, server *rpc.Server) error {
+	open := &connections{set: map[net.Conn]bool{}}
+	stop := context.AfterFunc(ctx, func() {
+		_ = listener.Close()
+		open.closeAll()
+	})
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		if !open.add(conn) {
+			_ = conn.Close()
+			continue
+		}
+		go func() {
+			server.ServeConn(countedConn{Conn: conn, traffic: d.traffic})
+			open.remove(conn)
+		}()
+	}
+}
+
+// connections are those accepted and still open.
+type connections struct {
+	mu     sync.Mutex
+	closed bool
+	set    map[net.Conn]bool
+}
+
+func (c *connections) add(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.set[conn] = true
+	return true
+}
+
+func (c *connections) remove(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.set, conn)
+}
+
+func (c *connections) closeAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for conn := range c.set {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/src/pool/cell.go
@@ -0,0 +1,380 @@
+package pool
+
+import (
+	"sort"
+	"time"
+
+	"sesamepitch/src/centre"
+	"sesamepitch/src/document"
+	"sesamepitch/src/placement"
+	"sesamepitch/src/ramp"
+	"sesamepitch/src/share"
+)
+
+const (
+	grantTTL       = 10 * time.Second
+	breakAfter     = 3
+	breakBase      = 500 * time.Millisecond
+	breakMax       = 8 * time.Second
+	prefixMemory   = 256
+	memberMemory   = 30 * time.Second
+	trainerReserve = 1
+	minReserveKnee = 4
+	smoothing      = 0.2
+	coldSlowness   = 8
+	distrustTime   = 5 * time.Second
+)
+
+// grant is one stream in use.
+type grant struct {
+	held    Held
+	entry   string
+	run     string
+	weight  int
+	tokens  int
+	renewed time.Time
+	revoked bool
+}
+
+// endpointState is what the owner knows of one endpoint.
+type endpointState struct {
+	config    document.Endpoint
+	ramp      *ramp.Ramp
+	running   int
+	suspects  int
+	version   int64
+	fails     int
+	brokenTo  time.Time
+	tokenTime float64
+	prefixes  []string
+	// distrust is until when the endpoint's word on its version is ignored,
+	// after its chunks have shown an older one.
+	distrust time.Time
+}
+
+// waiter is one queued Request.
+type waiter struct {
+	request Request
+	reply   chan Reply
+}
+
+// cell is the owner's state of one cell. Its owner's lock guards it.
+type cell struct {
+	id         centre.CellID
+	queue      *share.Queue
+	waiters    map[string]*waiter
+	grants     map[string]*grant
+	endpoints  map[string]*endpointState
+	openAt     time.Time
+	memberSeen time.Time
+	// knownWarm names the endpoints that the last owner knew as warm.
+	knownWarm map[string]bool
+}
+
+func newCell(id centre.CellID, openAt time.Time) *cell {
+	return &cell{id: id, queue: share.NewQueue(), waiters: map[string]*waiter{}, grants: map[string]*grant{}, endpoints: map[string]*endpointState{}, knownWarm: map[string]bool{}, openAt: openAt}
+}
+
+func rampSettings(e document.Endpoint) ramp.Settings {
+	return ramp.Settings{Knee: e.Knee, ColdLimit: e.ColdLimit, WarmAfter: e.WarmAfter, ColdTime: e.Cold()}
+}
+
+// update takes the endpoints of a new view or configuration over.
+func (c *cell) update(names []string, config *document.Config) {
+	wanted := map[string]bool{}
+	for _, name := range names {
+		endpoint, found := config.Endpoint(name)
+		if !found {
+			continue
+		}
+		wanted[name] = true
+		state := c.endpoints[name]
+		if state == nil || state.config.Address != endpoint.Address {
+			c.endpoints[name] = c.newEndpoint(endpoint)
+			continue
+		}
+		state.config = endpoint
+		state.ramp.Update(rampSettings(endpoint))
+	}
+	for name := range c.endpoints {
+		if !wanted[name] {
+			delete(c.endpoints, name)
+		}
+	}
+}
+
+func (c *cell) newEndpoint(endpoint document.Endpoint) *endpointState {
+	state := &endpointState{config: endpoint, ramp: ramp.New(rampSettings(endpoint)), running: c.runningOn(endpoint.Name)}
+	if c.knownWarm[endpoint.Name] {
+		delete(c.knownWarm, endpoint.Name)
+		state.ramp.StartWarm()
+	}
+	return state
+}
+
+func (c *cell) runningOn(endpoint string) int {
+	running := 0
+	for _, g := range c.grants {
+		if g.held.Endpoint == endpoint {
+			running++
+		}
+	}
+	return running
+}
+
+// candidates describes the endpoints for a request with this prefix.
+func (c *cell) candidates(now time.Time, view *centre.View, prefix string) []placement.Candidate {
+	median := c.medianTokenTime()
+	list := make([]placement.Candidate, 0, len(c.endpoints))
+	for name, state := range c.endpoints {
+		candidate := placement.Candidate{
+			Name: name, Running: state.running, Limit: state.limit(view.Uncertain), Version: state.version,
+			Reclaimable: state.config.Reclaimable, Leaving: view.IsLeaving(name),
+			Broken: now.Before(state.brokenTo), Cached: state.knows(prefix), Suspects: state.suspects, Slowness: 1,
+		}
+		if state.fails >= breakAfter && state.running > 0 {
+			// Half open: one stream at a time shows whether it is back.
+			candidate.Broken = true
+		}
+		if median > 0 && state.tokenTime > 0 {
+			candidate.Slowness = state.tokenTime / median
+		}
+		list = append(list, candidate)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// limit is the ramp's limit. While another owner could exist, a warm endpoint
+// gets half of it and a cold one nothing.
+func (e *endpointState) limit(uncertain bool) int {
+	switch {
+	case !uncertain:
+		return e.ramp.Limit()
+	case e.ramp.IsCold():
+		return 0
+	default:
+		return max(e.ramp.Limit()/2, 1)
+	}
+}
+
+func (e *endpointState) knows(prefix string) bool {
+	for _, known := range e.prefixes {
+		if known == prefix && prefix != "" {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *endpointState) learn(prefix string) {
+	if prefix == "" || e.knows(prefix) {
+		return
+	}
+	e.prefixes = append(e.prefixes, prefix)
+	if len(e.prefixes) > prefixMemory {
+		e.prefixes = e.prefixes[1:]
+	}
+}
+
+func (c *cell) medianTokenTime() float64 {
+	var times []float64
+	for _, state := range c.endpoints {
+		if state.tokenTime > 0 {
+			times = append(times, state.tokenTime)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	sort.Float64s(times)
+	return times[(len(times)-1)/2]
+}
+
+// reserve is how many streams of each endpoint are kept from training while
+// interactive work comes to this cell.
+func (c *cell) reserve(now time.Time) int {
+	if now.Sub(c.memberSeen) < memberMemory {
+		return trainerReserve
+	}
+	return 0
+}
+
+func (c *cell) placementRequest(now time.Time, r Request) placement.Request {
+	return placement.Request{
+		MinVersion: r.MinVersion, Avoid: r.Avoid, Interactive: r.Interactive,
+		Urgent: r.Urgent, Suspect: r.Suspect, Reserve: c.reserve(now),
+	}
+}
+
+// placed is a request that got its stream.
+type placed struct {
+	waiter   *waiter
+	decision placement.Decision
+}
+
+// dispatch grants streams for as long as a waiting request fits somewhere.
+func (c *cell) dispatch(now time.Time, view *centre.View) []placed {
+	if now.Before(c.openAt) {
+		return nil
+	}
+	var granted []placed
+	for c.queue.Len() > 0 && c.free(now, view) > 0 {
+		var decision placement.Decision
+		item, found := c.queue.Next(func(item share.Item) bool {
+			r := c.waiters[item.ID].request
+			var fits bool
+			decision, fits = placement.Choose(c.placementRequest(now, r), c.candidates(now, view, r.Prefix))
+			return fits
+		})
+		if !found {
+			break
+		}
+		w := c.waiters[item.ID]
+		delete(c.waiters, item.ID)
+		c.grant(now, w.request, decision.Endpoint)
+		granted = append(granted, placed{waiter: w, decision: decision})
+	}
+	return granted
+}
+
+// free counts the streams that are not in use.
+func (c *cell) free(now time.Time, view *centre.View) int {
+	free := 0
+	for name, state := range c.endpoints {
+		if !now.Before(state.brokenTo) && !view.IsLeaving(name) {
+			free += max(state.limit(view.Uncertain)-state.running, 0)
+		}
+	}
+	return free
+}
+
+// usable tells whether any endpoint could take the request, now or later.
+func (c *cell) usable(now time.Time, view *centre.View, r Request) bool {
+	for _, candidate := range c.candidates(now, view, "") {
+		stale := candidate.Version != 0 && candidate.Version < r.MinVersion
+		if !candidate.Leaving && !candidate.Broken && !stale && candidate.Limit > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *cell) grant(now time.Time, r Request, endpoint string) {
+	state := c.endpoints[endpoint]
+	state.running++
+	if r.Suspect {
+		state.suspects++
+	}
+	state.ramp.Sent(now)
+	state.learn(r.Prefix)
+	c.grants[r.ID] = &grant{
+		held:  Held{ID: r.ID, Endpoint: endpoint, Workspace: r.Workspace, Fingerprint: r.Fingerprint, Suspect: r.Suspect},
+		entry: r.Entry, run: r.Run, weight: r.Weight, tokens: r.Tokens, renewed: now,
+	}
+}
+
+// adopt counts a stream that an earlier owner granted.
+func (c *cell) adopt(now time.Time, entry, run string, held Held) {
+	c.grants[held.ID] = &grant{held: held, entry: entry, run: run, weight: 1, renewed: now}
+	state := c.endpoints[held.Endpoint]
+	if state == nil {
+		return
+	}
+	state.running++
+	if held.Suspect {
+		state.suspects++
+	}
+}
+
+// drop ends a stream's count.
+func (c *cell) drop(id string) (*grant, bool) {
+	g, found := c.grants[id]
+	if !found {
+		return nil, false
+	}
+	delete(c.grants, id)
+	if state := c.endpoints[g.held.Endpoint]; state != nil {
+		state.running = max(state.running-1, 0)
+		if g.held.Suspect {
+			state.suspects = max(state.suspects-1, 0)
+		}
+	}
+	return g, true
+}
+
+// expire drops the streams whose entry has not renewed them.
+func (c *cell) expire(now time.Time) {
+	for id, g := range c.grants {
+		if now.Sub(g.renewed) > grantTTL {
+			c.drop(id)
+		}
+	}
+}
+
+// learnOutcome updates what is known of the endpoint from a stream's end.
+func (c *cell) learnOutcome(now time.Time, r Release) {
+	state := c.endpoints[r.Endpoint]
+	if state == nil {
+		return
+	}
+	if r.Version > 0 {
+		state.version = r.Version
+	}
+	switch r.Outcome {
+	case Whole:
+		state.fails = 0
+		if state.slowedDown(r.TokenTime) {
+			c.cool(r.Endpoint)
+			return
+		}
+		state.ramp.Answered(now)
+		state.measure(r.TokenTime)
+	case Stale:
+		state.distrust = now.Add(distrustTime)
+	case Refused, Crashed:
+		state.fails++
+		state.ramp.Cool()
+		state.prefixes = nil
+		state.brokenTo = now.Add(min(breakBase<<min(state.fails-1, 6), breakMax))
+	}
+}
+
+// slowedDown tells whether a token took so much longer than before that the
+// endpoint must have turned cold.
+func (e *endpointState) slowedDown(tokenTime time.Duration) bool {
+	return e.tokenTime > 0 && float64(tokenTime) > coldSlowness*e.tokenTime && !e.ramp.IsCold()
+}
+
+func (e *endpointState) measure(tokenTime time.Duration) {
+	if tokenTime <= 0 {
+		return
+	}
+	if e.tokenTime == 0 {
+		e.tokenTime = float64(tokenTime)
+		return
+	}
+	e.tokenTime += smoothing * (float64(tokenTime) - e.tokenTime)
+}
+
+// cool puts an endpoint that reports a cold start back to its first stage and
+// revokes the streams beyond what it bears.
+func (c *cell) cool(endpoint string) int {
+	state := c.endpoints[endpoint]
+	if state == nil || state.ramp.IsCold() {
+		return 0
+	}
+	state.ramp.Cool()
+	excess := state.running - state.ramp.Limit()
+	revoked := 0
+	for _, g := range c.grants {
+		if revoked >= excess {
+			break
+		}
+		if g.held.Endpoint == endpoint && !g.revoked {
+			g.revoked = true
+			revoked++
+		}
+	}
+	return revoked
+}
--- /dev/null
+++ b/src/pool/client.go
@@ -0,0 +1,400 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/centre"
+	"sesamepitch/src/notice"
+	"sesamepitch/src/peer"
+	"sesamepitch/src/share"
+	"sesamepitch/src/supervisor"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+)
+
+const (
+	holdTime    = 5 * time.Second
+	answerTime  = 1500 * time.Millisecond
+	retryPause  = 60 * time.Millisecond
+	spillAfter  = 1500 * time.Millisecond
+	remoteCache = 2 * time.Second
+	renewEvery  = time.Second
+	releaseTime = 1500 * time.Millisecond
+)
+
+// Directory tells a client which daemons own which cells.
+type Directory interface {
+	View() *centre.View
+	Self() centre.Member
+	Centre() string
+}
+
+// Ask is what a caller's request needs of a stream.
+type Ask struct {
+	Pool        string
+	Workspace   string
+	Weight      int
+	Interactive bool
+	Tokens      int
+	Deadline    time.Time
+	Prefix      string
+	Fingerprint string
+	Suspect     bool
+	Urgent      bool
+	Avoid       []string
+	MinVersion  int64
+}
+
+// Stream is a granted stream. Its context ends if the owner revokes it.
+type Stream struct {
+	id       string
+	ask      Ask
+	cell     centre.CellID
+	centre   string
+	owner    string
+	endpoint string
+	address  string
+	reason   string
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// ID returns the attempt's unique id.
+func (s *Stream) ID() string { return s.id }
+
+// Endpoint returns the endpoint's name.
+func (s *Stream) Endpoint() string { return s.endpoint }
+
+// Address returns the endpoint's address.
+func (s *Stream) Address() string { return s.address }
+
+// Centre returns the endpoint's data centre.
+func (s *Stream) Centre() string { return s.centre }
+
+// Context ends when the stream's caller gives up or the owner revokes it.
+func (s *Stream) Context() context.Context { return s.ctx }
+
+// Client asks the owners of cells for streams.
+type Client struct {
+	clock    sesamepitch.Clock
+	log      logr.Logger
+	dir      Directory
+	dialer   *peer.Dialer
+	notices  *notice.Set
+	local    *Owner
+	flushed  func() int64
+	mu       sync.Mutex
+	streams  map[string]*Stream
+	remote   map[string]remoteCells
+	free     map[centre.CellID]int
+	released atomic.Int64
+}
+
+type remoteCells struct {
+	at    time.Time
+	cells []centre.Cell
+}
+
+// NewClient returns a client; local is this daemon's own owner, flushed tells
+// the last usage record that is safe.
+func NewClient(clock sesamepitch.Clock, log logr.Logger, dir Directory, dialer *peer.Dialer, notices *notice.Set, local *Owner, flushed func() int64) *Client {
+	return &Client{
+		clock: clock, log: log, dir: dir, dialer: dialer, notices: notices, local: local, flushed: flushed,
+		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, free: map[centre.CellID]int{},
+	}
+}
+
+// Workers returns the client's supervised tasks.
+func (c *Client) Workers() []supervisor.Worker {
+	return []supervisor.Worker{
+		supervisor.NewWorker("renewals", func(ctx context.Context) error {
+			return supervisor.Every(ctx, c.clock, renewEvery, c.renew)
+		}),
+	}
+}
+
+// Acquire waits for a stream until ctx or the ask's deadline ends. Nothing has
+// been sent to any endpoint when it fails.
+func (c *Client) Acquire(ctx context.Context, ask Ask) (*Stream, error) {
+	started := c.clock.Now()
+	last := Reply{State: Empty, Reason: "no cell serves the pool"}
+	for {
+		if err := ctx.Err(); err != nil {
+			return nil, &Error{Op: "pool.acquire", Kind: sesamepitch.KindTimeout, Err: fmt.Errorf("%s (%s)", last.State, last.Reason)}
+		}
+		waited := c.clock.Now().Sub(started)
+		for _, option := range c.options(ctx, ask, waited, last.State) {
+			stream, reply := c.try(ctx, ask, option, waited)
+			if stream != nil {
+				return stream, nil
+			}
+			last = reply
+			if reply.State == Quarantined {
+				return nil, &Error{Op: "pool.acquire", Kind: sesamepitch.KindQuarantined, Err: fmt.Errorf("%s", reply.Reason)}
+			}
+			if reply.State == Waiting {
+				break
+			}
+		}
+		if last.State != Waiting {
+			c.pause(ctx)
+		}
+	}
+}
+
+func (c *Client) pause(ctx context.Context) {
+	select {
+	case <-c.clock.After(retryPause/2 + rand.N(retryPause)):
+	case <-ctx.Done():
+	}
+}
+
+// option is a cell that may take the ask.
+type option struct {
+	centre string
+	cell   centre.Cell
+}
+
+// options lists cells in the order in which to ask them: the own data centre
+// first; others only if the own one cannot take the ask, or not soon.
+func (c *Client) options(ctx context.Context, ask Ask, waited time.Duration, last State) []option {
+	view := c.dir.View()
+	if view == nil {
+		return nil
+	}
+	var list []option
+	if !c.notices.IsOut(c.dir.Centre()) {
+		for _, cell := range c.spread(view.Cells, ask.Pool) {
+			list = append(list, option{centre: c.dir.Centre(), cell: cell})
+		}
+	}
+	if len(list) > 0 && (waited < spillAfter || last == Waiting) && last != Empty {
+		return list
+	}
+	remotes := append([]centre.Remote(nil), view.Remotes...)
+	rand.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
+	for _, remote := range remotes {
+		if c.notices.IsOut(remote.Centre) {
+			continue
+		}
+		for _, cell := range c.spread(c.remoteCells(ctx, remote, ask.Pool), ask.Pool) {
+			list = append(list, option{centre: remote.Centre, cell: cell})
+		}
+	}
+	return list
+}
+
+// spread orders a pool's cells: of two random ones the one with more free
+// streams comes first.
+func (c *Client) spread(cells []centre.Cell, pool string) []centre.Cell {
+	var list []centre.Cell
+	for _, cell := range cells {
+		if cell.ID.Pool == pool && cell.Address != "" {
+			list = append(list, cell)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if len(list) < 2 {
+		return list
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.free[list[1].ID] > c.free[list[0].ID] {
+		list[0], list[1] = list[1], list[0]
+	}
+	return list
+}
+
+func (c *Client) remoteCells(ctx context.Context, remote centre.Remote, pool string) []centre.Cell {
+	key := remote.Address + "/" + pool
+	c.mu.Lock()
+	cached, found := c.remote[key]
+	c.mu.Unlock()
+	if found && c.clock.Now().Sub(cached.at) < remoteCache {
+		return cached.cells
+	}
+	calling, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	var reply centre.CellsReply
+	if err := c.dialer.Call(calling, remote.Address, "Centre.Cells", centre.CellsArgs{Pool: pool}, &reply); err != nil {
+		reply.Cells = nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.remote[key] = remoteCells{at: c.clock.Now(), cells: reply.Cells}
+	return reply.Cells
+}
+
+func (c *Client) try(ctx context.Context, ask Ask, o option, waited time.Duration) (*Stream, Reply) {
+	self := c.dir.Self()
+	request := Request{
+		ID: uuid.NewString(), Entry: self.Address, Run: self.Incarnation, Cell: o.cell.ID,
+		Workspace: ask.Workspace, Weight: ask.Weight, Interactive: ask.Interactive, Tokens: ask.Tokens,
+		Slack: ask.Deadline.Sub(c.clock.Now()), Waited: waited, Prefix: ask.Prefix, Fingerprint: ask.Fingerprint,
+		Suspect: ask.Suspect, Urgent: ask.Urgent, Avoid: ask.Avoid, MinVersion: ask.MinVersion, Wait: holdTime,
+	}
+	if deadline, set := ctx.Deadline(); set {
+		request.Wait = max(min(request.Wait, time.Until(deadline)), 0)
+	}
+	reply, err := c.ask(ctx, o.cell.Address, request)
+	if err != nil {
+		// The owner may have granted it; give it back, so that it need not lapse.
+		if sesamepitch.KindOf(err) == sesamepitch.KindUnknown {
+			c.giveBack(request, o.cell.Address)
+		}
+		return nil, Reply{State: Moved, Reason: err.Error()}
+	}
+	c.mu.Lock()
+	c.free[o.cell.ID] = reply.Free - reply.Queued
+	c.mu.Unlock()
+	if reply.State != Granted {
+		return nil, reply
+	}
+	stream := &Stream{
+		id: request.ID, ask: ask, cell: o.cell.ID, centre: o.centre, owner: o.cell.Address,
+		endpoint: reply.Endpoint, address: reply.Address, reason: reply.Reason,
+	}
+	stream.ctx, stream.cancel = context.WithCancel(ctx)
+	c.mu.Lock()
+	c.streams[stream.id] = stream
+	c.mu.Unlock()
+	c.log.Info("route", "request", stream.id, "workspace", ask.Workspace, "pool", ask.Pool, "centre", o.centre,
+		"endpoint", reply.Endpoint, "reason", reply.Reason, "passed", reply.Passed, "waited", waited.Round(time.Millisecond).String())
+	return stream, reply
+}
+
+func (c *Client) ask(ctx context.Context, owner string, request Request) (Reply, error) {
+	if owner == c.dir.Self().Address {
+		return c.local.Acquire(ctx, request), nil
+	}
+	calling, cancel := context.WithTimeout(ctx, request.Wait+answerTime)
+	defer cancel()
+	var reply Reply
+	err := c.dialer.Call(calling, owner, "Pool.Acquire", request, &reply)
+	return reply, err
+}
+
+func (c *Client) giveBack(request Request, owner string) {
+	release := Release{ID: request.ID, Entry: request.Entry, Run: request.Run, Cell: request.Cell, Outcome: Cancelled}
+	c.send(owner, release)
+}
+
+// Release ends a stream and tells its owner how. It returns when the owner
+// has answered, or has not in time.
+func (c *Client) Release(s *Stream, r Release) {
+	self := c.dir.Self()
+	s.cancel()
+	c.mu.Lock()
+	delete(c.streams, s.id)
+	c.mu.Unlock()
+	r.ID, r.Entry, r.Run, r.Cell = s.id, self.Address, self.Incarnation, s.cell
+	r.Endpoint, r.Workspace, r.Fingerprint = s.endpoint, s.ask.Workspace, s.ask.Fingerprint
+	c.send(s.owner, r)
+}
+
+func (c *Client) send(owner string, r Release) {
+	if owner == c.dir.Self().Address {
+		c.local.Release(r)
+		return
+	}
+	calling, cancel := context.WithTimeout(context.Background(), releaseTime)
+	defer cancel()
+	_ = c.dialer.Call(calling, owner, "Pool.Release", r, &ReleaseReply{})
+}
+
+// renew keeps the streams granted. Where a cell has a new owner, that one is
+// told of the streams.
+func (c *Client) renew(ctx context.Context) {
+	byOwner := map[string]map[centre.CellID][]Held{}
+	c.mu.Lock()
+	for _, s := range c.streams {
+		s.owner = c.ownerNow(s)
+		if byOwner[s.owner] == nil {
+			byOwner[s.owner] = map[centre.CellID][]Held{}
+		}
+		held := Held{ID: s.id, Endpoint: s.endpoint, Workspace: s.ask.Workspace, Fingerprint: s.ask.Fingerprint, Suspect: s.ask.Suspect}
+		byOwner[s.owner][s.cell] = append(byOwner[s.owner][s.cell], held)
+	}
+	c.mu.Unlock()
+	done := make(chan struct{}, len(byOwner))
+	for owner, cells := range byOwner {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for id, held := range cells {
+				c.renewCell(ctx, owner, id, held)
+			}
+		}()
+	}
+	for range byOwner {
+		<-done
+	}
+}
+
+// ownerNow is the owner of a stream's cell as this daemon knows it now.
+func (c *Client) ownerNow(s *Stream) string {
+	var cells []centre.Cell
+	if s.centre == c.dir.Centre() {
+		if view := c.dir.View(); view != nil {
+			cells = view.Cells
+		}
+	} else {
+		for _, cached := range c.remote {
+			cells = append(cells, cached.cells...)
+		}
+	}
+	for _, cell := range cells {
+		if cell.ID == s.cell && cell.Address != "" && contains(cell.Endpoints, s.endpoint) {
+			return cell.Address
+		}
+	}
+	return s.owner
+}
+
+func contains(names []string, wanted string) bool {
+	for _, name := range names {
+		if name == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Client) renewCell(ctx context.Context, owner string, id centre.CellID, held []Held) {
+	self := c.dir.Self()
+	renewal := Renewal{Entry: self.Address, Run: self.Incarnation, Cell: id, Held: held, Flushed: c.flushed()}
+	var reply RenewalReply
+	if owner == self.Address {
+		reply = c.local.Renew(renewal)
+	} else {
+		calling, cancel := context.WithTimeout(ctx, answerTime)
+		defer cancel()
+		if err := c.dialer.Call(calling, owner, "Pool.Renew", renewal, &reply); err != nil {
+			return
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range reply.Revoked {
+		if s := c.streams[id]; s != nil {
+			c.log.Info("stream revoked", "request", id, "endpoint", s.endpoint, "reason", "endpoint turned cold")
+			s.cancel()
+		}
+	}
+}
+
+func shareItem(r Request, arrived, deadline time.Time) share.Item {
+	return share.Item{
+		ID: r.ID, Workspace: r.Workspace, Weight: r.Weight, Interactive: r.Interactive,
+		Tokens: r.Tokens, Deadline: deadline, Arrived: arrived,
+	}
+}
+
+// Workspace returns the workspace that the stream was granted to.
+func (s *Stream) Workspace() string { return s.ask.Workspace }
--- /dev/null
+++ b/src/pool/owner.go
@@ -0,0 +1,436 @@
+package pool
+
+import (
+	"context"
+	"net/rpc"
+	"sort"
+	"sync"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/centre"
+	"sesamepitch/src/document"
+	"sesamepitch/src/notice"
+	"sesamepitch/src/supervisor"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	// QuarantineAfter is how many endpoints a content may crash.
+	QuarantineAfter = 2
+	housekeeping    = 250 * time.Millisecond
+	loadEvery       = time.Second
+)
+
+// Membership is what an owner needs to know of its data centre.
+type Membership interface {
+	View() *centre.View
+	Owns(id centre.CellID) bool
+	OwnedCells() []centre.Cell
+	NoteVersion(endpoint string, version int64)
+	NoteWarm(endpoints []string)
+}
+
+// Load is an endpoint's lagging load report.
+type Load struct {
+	Version int64
+	Cold    bool
+}
+
+// LoadReader reads load reports from engines.
+type LoadReader interface {
+	ReadLoad(ctx context.Context, address string) (Load, error)
+}
+
+// Shadow keeps the usage that other daemons have not yet brought into safety.
+type Shadow interface {
+	// Keep remembers a use of the service that an entry reported.
+	Keep(r Release)
+	// Flushed forgets the records that the entry has brought into the table.
+	Flushed(entry, run string, record int64)
+}
+
+// Owner grants the streams of the cells that this daemon owns.
+type Owner struct {
+	clock   sesamepitch.Clock
+	log     logr.Logger
+	node    Membership
+	centre  string
+	holder  *document.Holder
+	notices *notice.Set
+	loads   LoadReader
+	shadow  Shadow
+	adopt   time.Duration
+
+	mu    sync.Mutex
+	cells map[centre.CellID]*cell
+}
+
+// OwnerOption changes an Owner at construction.
+type OwnerOption func(*Owner)
+
+// WithAdoption sets how long a new owner waits for the entries to tell it of
+// streams that an earlier owner granted.
+func WithAdoption(d time.Duration) OwnerOption {
+	return func(o *Owner) { o.adopt = d }
+}
+
+// WithShadow sets the keeper of usage shadows.
+func WithShadow(s Shadow) OwnerOption {
+	return func(o *Owner) { o.shadow = s }
+}
+
+const defaultAdoption = 2500 * time.Millisecond
+
+// NewOwner returns the owner of a daemon's cells in a data centre.
+func NewOwner(clock sesamepitch.Clock, log logr.Logger, node Membership, centreName string, holder *document.Holder, notices *notice.Set, loads LoadReader, options ...OwnerOption) *Owner {
+	o := &Owner{
+		clock: clock, log: log, node: node, centre: centreName, holder: holder, notices: notices, loads: loads,
+		adopt: defaultAdoption, cells: map[centre.CellID]*cell{},
+	}
+	for _, option := range options {
+		option(o)
+	}
+	return o
+}
+
+// Register adds the owner's methods to a net/rpc server.
+func (o *Owner) Register(server *rpc.Server) error {
+	return server.RegisterName("Pool", &Service{owner: o})
+}
+
+// Workers returns the owner's supervised tasks.
+func (o *Owner) Workers() []supervisor.Worker {
+	return []supervisor.Worker{
+		supervisor.NewWorker("cells", func(ctx context.Context) error {
+			return supervisor.Every(ctx, o.clock, housekeeping, func(context.Context) { o.keepCells() })
+		}),
+		supervisor.NewWorker("load-reports", func(ctx context.Context) error {
+			return supervisor.Every(ctx, o.clock, loadEvery, o.readLoads)
+		}),
+	}
+}
+
+// keepCells takes owned cells on, drops the others, and expires streams.
+func (o *Owner) keepCells() {
+	owned := map[centre.CellID]centre.Cell{}
+	for _, c := range o.node.OwnedCells() {
+		owned[c.ID] = c
+	}
+	config, now := o.holder.Current(), o.clock.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, state := range o.cells {
+		if _, still := owned[id]; !still {
+			delete(o.cells, id)
+			state.answerAll(Reply{State: Moved})
+		}
+	}
+	var warm []string
+	for id, c := range owned {
+		state := o.cells[id]
+		if state == nil {
+			state = o.open(id, now)
+		}
+		state.update(c.Endpoints, config)
+		state.expire(now)
+		warm = append(warm, state.warm()...)
+		o.dispatch(state)
+	}
+	sort.Strings(warm)
+	o.node.NoteWarm(warm)
+}
+
+// open takes a cell on. Endpoints that the last owner knew as warm start at
+// half their knee, all others in cold start.
+func (o *Owner) open(id centre.CellID, now time.Time) *cell {
+	view := o.node.View()
+	openAt := now.Add(o.adopt)
+	if view.FirstOwners {
+		openAt = now
+	}
+	state := newCell(id, openAt)
+	for _, name := range view.Warm {
+		state.knownWarm[name] = true
+	}
+	o.cells[id] = state
+	o.log.Info("cell opened", "pool", id.Pool, "cell", id.Index, "adoption", openAt.Sub(now).String())
+	return state
+}
+
+func (c *cell) answerAll(reply Reply) {
+	for id, w := range c.waiters {
+		delete(c.waiters, id)
+		w.reply <- reply
+	}
+}
+
+// warm lists the endpoints whose ramp is complete.
+func (c *cell) warm() []string {
+	var names []string
+	for name, state := range c.endpoints {
+		if state.ramp.Limit() >= state.config.Knee {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// dispatch grants what can be granted; it needs o.mu.
+func (o *Owner) dispatch(state *cell) {
+	if !o.node.Owns(state.id) {
+		return
+	}
+	for _, p := range state.dispatch(o.clock.Now(), o.node.View()) {
+		endpoint := state.endpoints[p.decision.Endpoint]
+		r := p.waiter.request
+		o.log.Info("placement", "request", r.ID, "workspace", r.Workspace, "pool", state.id.Pool,
+			"endpoint", p.decision.Endpoint, "reason", p.decision.Reason, "passed", p.decision.Passed, "queued", state.queue.Len())
+		p.waiter.reply <- Reply{
+			State: Granted, Endpoint: p.decision.Endpoint, Address: endpoint.config.Address,
+			Reason: p.decision.Reason, Passed: p.decision.Passed, Queued: state.queue.Len(),
+		}
+	}
+}
+
+// Acquire queues a request until it is granted or its Wait is over.
+func (o *Owner) Acquire(ctx context.Context, r Request) Reply {
+	if o.notices.IsOut(o.centre) {
+		return Reply{State: Barred, Reason: "data centre is out"}
+	}
+	if o.notices.Crashes(r.Fingerprint) >= QuarantineAfter {
+		return Reply{State: Quarantined, Reason: "content crashed endpoints"}
+	}
+	w, refusal := o.enqueue(r)
+	if w == nil {
+		return refusal
+	}
+	select {
+	case reply := <-w.reply:
+		return reply
+	case <-o.clock.After(r.Wait):
+	case <-ctx.Done():
+	}
+	return o.dequeue(r, w)
+}
+
+func (o *Owner) enqueue(r Request) (*waiter, Reply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	state := o.cells[r.Cell]
+	if state == nil || !o.node.Owns(r.Cell) {
+		return nil, Reply{State: Moved}
+	}
+	now := o.clock.Now()
+	if !now.Before(state.openAt) && !state.usable(now, o.node.View(), r) {
+		return nil, Reply{State: Empty, Reason: "no endpoint can take it", Queued: state.queue.Len()}
+	}
+	if r.Interactive {
+		state.memberSeen = now
+	}
+	// A suspect of one crash runs apart from other suspects.
+	r.Suspect = r.Suspect || o.notices.Crashes(r.Fingerprint) > 0
+	w := &waiter{request: r, reply: make(chan Reply, 1)}
+	state.waiters[r.ID] = w
+	arrived := now.Add(-r.Waited)
+	state.queue.Push(shareItem(r, arrived, now.Add(r.Slack)))
+	o.dispatch(state)
+	return w, Reply{}
+}
+
+// dequeue gives a request up that has waited long enough, unless it was
+// granted at the last moment.
+func (o *Owner) dequeue(r Request, w *waiter) Reply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	select {
+	case reply := <-w.reply:
+		return reply
+	default:
+	}
+	state := o.cells[r.Cell]
+	if state == nil {
+		return Reply{State: Moved}
+	}
+	state.queue.Remove(r.ID)
+	delete(state.waiters, r.ID)
+	return Reply{State: Waiting, Queued: state.queue.Len(), Free: state.free(o.clock.Now(), o.node.View())}
+}
+
+// Release ends a stream and learns from its outcome.
+func (o *Owner) Release(r Release) {
+	if o.shadow != nil {
+		o.shadow.Keep(r)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	state := o.cells[r.Cell]
+	if state == nil {
+		return
+	}
+	if r.Outcome == Crashed {
+		o.noteCrash(state, r)
+	}
+	if g, found := state.drop(r.ID); found {
+		state.queue.Correct(g.held.Workspace, g.weight, r.Tokens-g.tokens)
+	}
+	state.learnOutcome(o.clock.Now(), r)
+	if r.Version > 0 && r.Version < o.notices.ModelVersion(state.id.Pool) {
+		o.node.NoteVersion(r.Endpoint, r.Version)
+	}
+	o.dispatch(state)
+}
+
+// noteCrash holds a crash against the content that broke off. Where a suspect
+// ran on the endpoint, it alone is held to be the cause.
+func (o *Owner) noteCrash(state *cell, r Release) {
+	g, found := state.grants[r.ID]
+	if !found || r.Fingerprint == "" {
+		return
+	}
+	if endpoint := state.endpoints[r.Endpoint]; endpoint != nil && endpoint.suspects > 0 && !g.held.Suspect {
+		return
+	}
+	event := r.Endpoint + "/" + r.ID
+	o.notices.Add("", o.notices.NewCrash(r.Fingerprint, event, r.Entry))
+	o.log.Info("content suspected", "fingerprint", r.Fingerprint, "endpoint", r.Endpoint, "request", r.ID, "crashes", o.notices.Crashes(r.Fingerprint))
+}
+
+// Renew keeps an entry's streams; a new owner learns of streams granted before.
+func (o *Owner) Renew(r Renewal) RenewalReply {
+	if o.shadow != nil {
+		o.shadow.Flushed(r.Entry, r.Run, r.Flushed)
+	}
+	now := o.clock.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	state := o.cells[r.Cell]
+	if state == nil || !o.node.Owns(r.Cell) {
+		return RenewalReply{}
+	}
+	reply := RenewalReply{Owned: true}
+	for _, held := range r.Held {
+		g := state.grants[held.ID]
+		if g == nil {
+			state.adopt(now, r.Entry, r.Run, held)
+			continue
+		}
+		g.renewed = now
+		if g.revoked {
+			reply.Revoked = append(reply.Revoked, held.ID)
+		}
+	}
+	return reply
+}
+
+// readLoads compares the engines' lagging reports with what is known of them.
+func (o *Owner) readLoads(ctx context.Context) {
+	type target struct {
+		id            centre.CellID
+		name, address string
+	}
+	var targets []target
+	o.mu.Lock()
+	for id, state := range o.cells {
+		for name, endpoint := range state.endpoints {
+			if endpoint.config.Model != "" {
+				targets = append(targets, target{id: id, name: name, address: endpoint.config.Address})
+			}
+		}
+	}
+	o.mu.Unlock()
+	done := make(chan struct{}, len(targets))
+	for _, t := range targets {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			load, err := o.loads.ReadLoad(ctx, t.address)
+			if err == nil {
+				o.takeLoad(t.id, t.name, load)
+			}
+		}()
+	}
+	for range targets {
+		<-done
+	}
+}
+
+func (o *Owner) takeLoad(id centre.CellID, name string, load Load) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	state := o.cells[id]
+	if state == nil || state.endpoints[name] == nil {
+		return
+	}
+	endpoint := state.endpoints[name]
+	if load.Version > endpoint.version && !o.clock.Now().Before(endpoint.distrust) {
+		// A report may run ahead of the truth; the chunks correct it.
+		endpoint.version = load.Version
+		o.dispatch(state)
+	}
+	if !load.Cold || endpoint.running == 0 {
+		return
+	}
+	if revoked := state.cool(name); revoked > 0 {
+		o.log.Info("endpoint turned cold", "endpoint", name, "revoked", revoked)
+	}
+}
+
+// Queued lists the waiting and running streams by cell, for status.
+func (o *Owner) Queued() []CellStatus {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	list := []CellStatus{}
+	for id, state := range o.cells {
+		status := CellStatus{Pool: id.Pool, Index: id.Index, Queued: state.queue.Len(), Endpoints: []EndpointStatus{}}
+		for name, e := range state.endpoints {
+			status.Endpoints = append(status.Endpoints, EndpointStatus{
+				Name: name, Running: e.running, Limit: e.ramp.Limit(), Version: e.version,
+				Broken: o.clock.Now().Before(e.brokenTo), TokenMicros: int64(e.tokenTime) / int64(time.Microsecond),
+			})
+		}
+		sort.Slice(status.Endpoints, func(i, j int) bool { return status.Endpoints[i].Name < status.Endpoints[j].Name })
+		list = append(list, status)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Pool < list[j].Pool })
+	return list
+}
+
+// CellStatus is one owned cell, for operators.
+type CellStatus struct {
+	Pool      string           `json:"pool"`
+	Index     int              `json:"index"`
+	Queued    int              `json:"queued"`
+	Endpoints []EndpointStatus `json:"endpoints"`
+}
+
+// EndpointStatus is one endpoint of an owned cell, for operators.
+type EndpointStatus struct {
+	Name        string `json:"name"`
+	Running     int    `json:"running"`
+	Limit       int    `json:"limit"`
+	Version     int64  `json:"version"`
+	Broken      bool   `json:"broken"`
+	TokenMicros int64  `json:"token_micros"`
+}
+
+// Service is the owner's net/rpc face.
+type Service struct{ owner *Owner }
+
+// Acquire answers a Request.
+func (s *Service) Acquire(r Request, reply *Reply) error {
+	*reply = s.owner.Acquire(context.Background(), r)
+	return nil
+}
+
+// Release answers a Release.
+func (s *Service) Release(r Release, _ *ReleaseReply) error {
+	s.owner.Release(r)
+	return nil
+}
+
+// Renew answers a Renewal.
+func (s *Service) Renew(r Renewal, reply *RenewalReply) error {
+	*reply = s.owner.Renew(r)
+	return nil
+}
--- /dev/null
+++ b/src/pool/wire.go
@@ -0,0 +1,129 @@
+// Package pool grants streams of endpoints. The owner of a cell queues the
+// requests for it, chooses whose turn it is and where it runs, and counts the
+// streams of all daemons together; the client at each daemon asks the owners.
+package pool
+
+import (
+	"time"
+
+	"sesamepitch/src/centre"
+)
+
+// Request asks for one stream.
+type Request struct {
+	// ID is unique for each attempt.
+	ID string
+	// Entry is the asking daemon's address, Run its incarnation.
+	Entry       string
+	Run         string
+	Cell        centre.CellID
+	Workspace   string
+	Weight      int
+	Interactive bool
+	Tokens      int
+	Slack       time.Duration
+	Waited      time.Duration
+	Prefix      string
+	Fingerprint string
+	Suspect     bool
+	Urgent      bool
+	Avoid       []string
+	MinVersion  int64
+	// Wait is how long the owner may hold the call.
+	Wait time.Duration
+}
+
+// State is the outcome of a Request.
+type State string
+
+// The outcomes of a Request.
+const (
+	// Granted: the stream may be used at once.
+	Granted State = "granted"
+	// Waiting: no stream came free in time; ask again.
+	Waiting State = "waiting"
+	// Moved: this daemon does not own the cell.
+	Moved State = "moved"
+	// Barred: the data centre is taken out.
+	Barred State = "barred"
+	// Empty: no endpoint of the cell can take the request now.
+	Empty State = "empty"
+	// Quarantined: the content has crashed endpoints.
+	Quarantined State = "quarantined"
+)
+
+// Reply is the owner's answer to a Request.
+type Reply struct {
+	State    State
+	Endpoint string
+	Address  string
+	Reason   string
+	Passed   string
+	Queued   int
+	Free     int
+}
+
+// Outcome is how a stream ended.
+type Outcome string
+
+// The outcomes of a stream.
+const (
+	// Whole: the answer came whole.
+	Whole Outcome = "whole"
+	// Cancelled: this side gave up.
+	Cancelled Outcome = "cancelled"
+	// Refused: the endpoint could not be dialled.
+	Refused Outcome = "refused"
+	// Crashed: the endpoint broke off.
+	Crashed Outcome = "crashed"
+	// Stale: the endpoint ran older weights than asked for.
+	Stale Outcome = "stale"
+)
+
+// Release ends a stream.
+type Release struct {
+	ID          string
+	Entry       string
+	Run         string
+	Cell        centre.CellID
+	Endpoint    string
+	Outcome     Outcome
+	Version     int64
+	Tokens      int
+	MilliCost   int64
+	Workspace   string
+	TokenTime   time.Duration
+	Fingerprint string
+	// Record is the entry's number of this use of the service, Billed whether
+	// it counts as usage.
+	Record int64
+	Billed bool
+}
+
+// ReleaseReply is empty.
+type ReleaseReply struct{}
+
+// Held is a stream that an entry still uses.
+type Held struct {
+	ID          string
+	Endpoint    string
+	Workspace   string
+	Fingerprint string
+	Suspect     bool
+}
+
+// Renewal keeps an entry's streams granted, also towards a new owner.
+type Renewal struct {
+	Entry string
+	Run   string
+	Cell  centre.CellID
+	Held  []Held
+	// Flushed is the last usage record that is safe in the table.
+	Flushed int64
+}
+
+// RenewalReply names streams that must end at once.
+type RenewalReply struct {
+	Owned   bool
+	Revoked []string
+}
--- /dev/null
+++ b/src/rollout/rollout.go
@@ -0,0 +1,271 @@
+// Package rollout runs one generation: it asks for a stream, sends the request,
+// checks the answer, and tries again elsewhere as long as nothing of the
+// answer has been passed on.
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/endpoint"
+	"sesamepitch/src/notice"
+	"sesamepitch/src/pool"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	maxAttempts = 6
+	prefixBytes = 64
+)
+
+// Request is one generation to run.
+type Request struct {
+	ID          string
+	Workspace   string
+	Weight      int
+	Model       string
+	Prompt      string
+	MaxTokens   int
+	Interactive bool
+	Urgent      bool
+	Deadline    time.Time
+	Avoid       []string
+	// MinVersion returns the oldest weight version allowed at the time.
+	MinVersion func() int64
+	Sampling   endpoint.Sampling
+	Secret     string
+	// Placed is told each endpoint that the request is sent to.
+	Placed func(endpoint string)
+}
+
+// Generation is a whole answer and what made it.
+type Generation struct {
+	text      string
+	versions  []int64
+	tokens    int
+	milliCost int64
+	endpoint  string
+	attempts  int
+}
+
+// Text returns the generated text.
+func (g Generation) Text() string { return g.text }
+
+// Versions returns the weight versions of the chunks, oldest first.
+func (g Generation) Versions() []int64 { return g.versions }
+
+// Tokens returns the number of tokens generated.
+func (g Generation) Tokens() int { return g.tokens }
+
+// MilliCost returns the price of the tokens in thousandths.
+func (g Generation) MilliCost() int64 { return g.milliCost }
+
+// Endpoint returns the endpoint's name.
+func (g Generation) Endpoint() string { return g.endpoint }
+
+// Attempts returns how many streams it took.
+func (g Generation) Attempts() int { return g.attempts }
+
+// Oldest returns the oldest weight version, zero if there is none.
+func (g Generation) Oldest() int64 {
+	if len(g.versions) == 0 {
+		return 0
+	}
+	return g.versions[0]
+}
+
+// Prices tells what a token costs on an endpoint.
+type Prices interface {
+	// MilliPrice returns the price of a token in thousandths.
+	MilliPrice(endpoint string) int64
+}
+
+// Recorder numbers and counts uses of the service before their last part is
+// passed on.
+type Recorder interface {
+	// Record counts one use and returns its number.
+	Record(workspace string, tokens int, milliCost int64) int64
+}
+
+// Runner runs generations.
+type Runner struct {
+	clock    sesamepitch.Clock
+	log      logr.Logger
+	client   *pool.Client
+	engines  *endpoint.Client
+	notices  *notice.Set
+	prices   Prices
+	recorder Recorder
+}
+
+// New returns a runner.
+func New(clock sesamepitch.Clock, log logr.Logger, client *pool.Client, engines *endpoint.Client, notices *notice.Set, prices Prices, recorder Recorder) *Runner {
+	return &Runner{clock: clock, log: log, client: client, engines: engines, notices: notices, prices: prices, recorder: recorder}
+}
+
+// Sink takes the parts of an answer as they come. A nil sink lets the runner
+// try again after any failure.
+type Sink func(endpoint.Chunk) error
+
+// attempt is the state of one stream.
+type attempt struct {
+	generation Generation
+	started    time.Time
+	firstAt    time.Time
+	passedOn   bool
+}
+
+// Generate runs one generation. Billed generations are recorded as usage
+// before Generate returns.
+func (r *Runner) Generate(ctx context.Context, request Request, sink Sink, billed bool) (Generation, error) {
+	avoid := append([]string(nil), request.Avoid...)
+	ran := false
+	for number := 1; ; number++ {
+		stream, err := r.client.Acquire(ctx, r.ask(request, avoid))
+		if err != nil {
+			return Generation{}, &Error{Op: "rollout.generate", Kind: sesamepitch.KindOf(err), Ran: ran, Err: err}
+		}
+		a := &attempt{started: r.clock.Now()}
+		a.generation.endpoint, a.generation.attempts = stream.Endpoint(), number
+		if request.Placed != nil {
+			request.Placed(stream.Endpoint())
+		}
+		err = r.run(stream, request, sink, a)
+		r.finish(stream, a, err, billed)
+		if err == nil {
+			return a.generation, nil
+		}
+		kind := sesamepitch.KindOf(err)
+		ran = ran || kind != sesamepitch.KindUnavailable
+		if !r.mayRetry(ctx, kind, a, number) {
+			return Generation{}, &Error{Op: "rollout.generate", Kind: kind, Ran: ran, Err: err}
+		}
+		r.log.Info("retry", "request", request.ID, "endpoint", stream.Endpoint(), "kind", kind, "attempt", number)
+		avoid = nextAvoid(avoid, stream.Endpoint())
+	}
+}
+
+// nextAvoid keeps only the endpoints that failed last, so that a small pool
+// does not run out.
+func nextAvoid(avoid []string, failed string) []string {
+	if len(avoid) >= 2 {
+		avoid = avoid[1:]
+	}
+	return append(avoid, failed)
+}
+
+func (r *Runner) ask(request Request, avoid []string) pool.Ask {
+	fingerprint := sesamepitch.Fingerprint(request.Model, request.Prompt)
+	return pool.Ask{
+		Pool: request.Model, Workspace: request.Workspace, Weight: request.Weight,
+		Interactive: request.Interactive, Tokens: request.MaxTokens, Deadline: request.Deadline,
+		Prefix:      sesamepitch.Fingerprint(request.Prompt[:min(len(request.Prompt), prefixBytes)]),
+		Fingerprint: fingerprint, Urgent: request.Urgent, Avoid: avoid,
+		Suspect: r.notices.Crashes(fingerprint) > 0, MinVersion: request.MinVersion(),
+	}
+}
+
+func (r *Runner) run(stream *pool.Stream, request Request, sink Sink, a *attempt) error {
+	var text strings.Builder
+	versions := map[int64]bool{}
+	price := r.prices.MilliPrice(stream.Endpoint())
+	completion := endpoint.Completion{
+		ID: stream.ID(), Model: request.Model, Prompt: request.Prompt, MaxTokens: request.MaxTokens,
+		MinVersion: request.MinVersion(), Sampling: request.Sampling, Secret: request.Secret,
+	}
+	err := r.engines.Complete(stream.Context(), stream.Address(), completion, func(chunk endpoint.Chunk) error {
+		if a.firstAt.IsZero() {
+			a.firstAt = r.clock.Now()
+		}
+		versions[chunk.Version] = true
+		a.generation.tokens += chunk.Tokens
+		a.generation.milliCost += int64(chunk.Tokens) * price
+		if sink == nil {
+			text.WriteString(chunk.Text)
+			return nil
+		}
+		a.passedOn = true
+		return sink(chunk)
+	})
+	a.generation.text = text.String()
+	for version := range versions {
+		a.generation.versions = append(a.generation.versions, version)
+	}
+	sort.Slice(a.generation.versions, func(i, j int) bool { return a.generation.versions[i] < a.generation.versions[j] })
+	return err
+}
+
+// finish gives the stream back with what was learnt from it.
+func (r *Runner) finish(stream *pool.Stream, a *attempt, err error, billed bool) {
+	release := pool.Release{Outcome: outcomeOf(err), Tokens: a.generation.tokens, MilliCost: a.generation.milliCost}
+	if count := len(a.generation.versions); count > 0 {
+		release.Version = a.generation.versions[count-1]
+	}
+	if a.generation.tokens > 1 && !a.firstAt.IsZero() {
+		release.TokenTime = r.clock.Now().Sub(a.firstAt) / time.Duration(a.generation.tokens-1)
+	}
+	if billed && (err == nil || a.passedOn) && a.generation.tokens > 0 {
+		release.Billed = true
+		release.Record = r.recorder.Record(stream.Workspace(), a.generation.tokens, a.generation.milliCost)
+	}
+	r.client.Release(stream, release)
+}
+
+func outcomeOf(err error) pool.Outcome {
+	switch sesamepitch.KindOf(err) {
+	case "":
+		return pool.Whole
+	case sesamepitch.KindUnavailable:
+		return pool.Refused
+	case sesamepitch.KindCrashed:
+		return pool.Crashed
+	case sesamepitch.KindStale:
+		return pool.Stale
+	default:
+		return pool.Cancelled
+	}
+}
+
+var errGiveUp = errors.New("gave up")
+
+func (r *Runner) mayRetry(ctx context.Context, kind sesamepitch.Kind, a *attempt, number int) bool {
+	if ctx.Err() != nil || a.passedOn || number >= maxAttempts {
+		return false
+	}
+	switch kind {
+	case sesamepitch.KindUnavailable, sesamepitch.KindCrashed, sesamepitch.KindStale, sesamepitch.KindTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
+// Judge scores a text by one of a judge's endpoints.
+func (r *Runner) Judge(ctx context.Context, request Request, judge, text string) (float64, error) {
+	last := errGiveUp
+	for number := 1; number <= maxAttempts; number++ {
+		stream, err := r.client.Acquire(ctx, pool.Ask{
+			Pool: judge, Workspace: request.Workspace, Weight: request.Weight, Interactive: request.Interactive,
+			Tokens: 1, Deadline: request.Deadline,
+		})
+		if err != nil {
+			return 0, err
+		}
+		score, err := r.engines.Judge(stream.Context(), stream.Address(), stream.ID(), request.Prompt, text)
+		r.client.Release(stream, pool.Release{Outcome: outcomeOf(err)})
+		if err == nil {
+			return score, nil
+		}
+		if ctx.Err() != nil {
+			return 0, err
+		}
+		last = err
+	}
+	return 0, &Error{Op: "rollout.judge", Kind: sesamepitch.KindUnavailable, Ran: true, Err: fmt.Errorf("%s: %w", judge, last)}
+}
--- /dev/null
+++ b/src/standin/engine.go
@@ -0,0 +1,373 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// CrashMarker in a prompt crashes the engine that runs it.
+const CrashMarker = "<crash>"
+
+// EngineFaults are the faults of the engine stand-in.
+type EngineFaults struct {
+	// Down breaks every connection off.
+	Down bool `json:"down"`
+	// Slow multiplies the time of a token; zero means one.
+	Slow float64 `json:"slow"`
+	// SwapFails takes a load order and keeps the old version.
+	SwapFails bool `json:"swap_fails"`
+	// SwapLies reports the ordered version although the old one runs.
+	SwapLies bool `json:"swap_lies"`
+	// CutAfter breaks each stream off after this many tokens.
+	CutAfter int `json:"cut_after"`
+	// Truncate ends each stream without its end mark.
+	Truncate bool `json:"truncate"`
+	// CrossAnswers sends the request id of the request before.
+	CrossAnswers bool `json:"cross_answers"`
+	// Redirect answers with a redirect to this address.
+	Redirect string `json:"redirect"`
+}
+
+// EngineSettings are fixed at the engine's start.
+type EngineSettings struct {
+	// Version is the weight version at start.
+	Version int64
+	// Token is the time of one token below the knee.
+	Token time.Duration
+	// Prefill is the time before the first token of an uncached prompt.
+	Prefill time.Duration
+	// Knee is the number of streams above which tokens slow down.
+	Knee int
+	// ColdFor is how long the engine is cold after its first request.
+	ColdFor time.Duration
+	// ColdLimit is the number of streams that the cold engine bears.
+	ColdLimit int
+	// Restart is the time from a crash to the next, cold start.
+	Restart time.Duration
+	// CheckFence refuses load orders with old fencing numbers.
+	CheckFence bool
+	// Swap is the time of a weight swap.
+	Swap time.Duration
+	// CacheSlots is the number of prompt prefixes kept.
+	CacheSlots int
+}
+
+// EngineLoad is the engine's lagging load report.
+type EngineLoad struct {
+	Running int   `json:"running"`
+	Version int64 `json:"version"`
+	Cold    bool  `json:"cold"`
+}
+
+// EngineSeen is what the engine saw, for tests and reports.
+type EngineSeen struct {
+	Requests      map[string]int `json:"requests"`
+	Secrets       []string       `json:"secrets"`
+	MaxRunning    int            `json:"max_running"`
+	ColdOverloads int            `json:"cold_overloads"`
+	Crashes       int            `json:"crashes"`
+	Started       int            `json:"started"`
+	LastStart     time.Time      `json:"last_start"`
+	CacheHits     int            `json:"cache_hits"`
+	Version       int64          `json:"version"`
+}
+
+// CompletionRequest is the part of the model servers' request that we send.
+type CompletionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// Chunk is one event of the engine's stream.
+type Chunk struct {
+	ID      string `json:"id"`
+	Text    string `json:"text"`
+	Tokens  int    `json:"tokens"`
+	Version int64  `json:"weight_version"`
+}
+
+// LoadOrder asks the engine to load a weight version.
+type LoadOrder struct {
+	Version  int64     `json:"version"`
+	Fence    int64     `json:"fence"`
+	NotAfter time.Time `json:"not_after"`
+}
+
+// Engine is the model engine stand-in.
+type Engine struct {
+	settings EngineSettings
+	mu       sync.Mutex
+	faults   EngineFaults
+	version  int64
+	reported int64
+	fence    int64
+	running  int
+	coldTill time.Time
+	downTill time.Time
+	life     int
+	lastID   string
+	cache    []string
+	seen     EngineSeen
+	mux      *http.ServeMux
+}
+
+// NewEngine returns an engine with these settings.
+func NewEngine(settings EngineSettings) *Engine {
+	e := &Engine{settings: settings, version: settings.Version, reported: settings.Version, mux: http.NewServeMux()}
+	e.seen.Requests = map[string]int{}
+	e.mux.HandleFunc("POST /v1/completions", e.complete)
+	e.mux.HandleFunc("GET /load", e.load)
+	e.mux.HandleFunc("POST /orders/load", e.loadVersion)
+	e.mux.HandleFunc("POST /control/faults", e.setFaults)
+	e.mux.HandleFunc("POST /control/cool", e.cool)
+	e.mux.HandleFunc("GET /control/seen", e.readSeen)
+	return e
+}
+
+// ServeHTTP breaks connections off while the engine is down.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/control/") {
+		e.mux.ServeHTTP(w, r)
+		return
+	}
+	e.mu.Lock()
+	down := e.faults.Down || time.Now().Before(e.downTill)
+	e.mu.Unlock()
+	if down {
+		abort()
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var request CompletionRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	e.noteRequest(id, r)
+	life, hit, ok := e.admit(request)
+	if !ok {
+		abort()
+	}
+	defer e.leave(life)
+	if strings.Contains(request.Prompt, CrashMarker) {
+		e.crash()
+		abort()
+	}
+	faults := e.currentFaults()
+	if faults.Redirect != "" {
+		http.Redirect(w, r, faults.Redirect, http.StatusTemporaryRedirect)
+		return
+	}
+	if !hit {
+		time.Sleep(e.settings.Prefill)
+	}
+	e.stream(w, r, request, id, life)
+}
+
+func (e *Engine) noteRequest(id string, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seen.Requests[id]++
+	e.seen.Started++
+	e.seen.LastStart = time.Now()
+	for name, values := range r.Header {
+		lower := strings.ToLower(name)
+		if strings.Contains(lower, "auth") || strings.Contains(lower, "cookie") || strings.Contains(lower, "key") {
+			e.seen.Secrets = append(e.seen.Secrets, name+": "+strings.Join(values, ","))
+		}
+	}
+	if r.URL.RawQuery != "" {
+		e.seen.Secrets = append(e.seen.Secrets, "query: "+r.URL.RawQuery)
+	}
+}
+
+// admit counts the stream; a cold engine with too many streams falls over.
+func (e *Engine) admit(request CompletionRequest) (life int, hit, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.coldTill.IsZero() {
+		e.coldTill = time.Now().Add(e.settings.ColdFor)
+	}
+	e.running++
+	e.seen.MaxRunning = max(e.seen.MaxRunning, e.running)
+	if time.Now().Before(e.coldTill) && e.running > e.settings.ColdLimit {
+		e.seen.ColdOverloads++
+		e.crashLocked()
+		return 0, false, false
+	}
+	return e.life, e.touchCache(request.Prompt), true
+}
+
+const prefixBytes = 64
+
+// touchCache moves the prompt's prefix to the front and tells whether it was there.
+func (e *Engine) touchCache(prompt string) bool {
+	prefix := prompt[:min(len(prompt), prefixBytes)]
+	for i, cached := range e.cache {
+		if cached == prefix {
+			copy(e.cache[1:i+1], e.cache[:i])
+			e.cache[0] = prefix
+			e.seen.CacheHits++
+			return true
+		}
+	}
+	e.cache = append([]string{prefix}, e.cache...)
+	if len(e.cache) > e.settings.CacheSlots {
+		e.cache = e.cache[:e.settings.CacheSlots]
+	}
+	return false
+}
+
+func (e *Engine) leave(life int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if life == e.life {
+		e.running--
+	}
+}
+
+func (e *Engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashLocked()
+}
+
+func (e *Engine) crashLocked() {
+	e.life++
+	e.running = 0
+	e.cache = nil
+	e.coldTill = time.Time{}
+	e.downTill = time.Now().Add(e.settings.Restart)
+	e.seen.Crashes++
+}
+
+func (e *Engine) currentFaults() EngineFaults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// step returns the state of one token: whether the stream still lives, its
+// version, and how long the token takes.
+func (e *Engine) step(life int) (alive bool, version int64, wait time.Duration, faults EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	wait = e.settings.Token
+	if e.running > e.settings.Knee {
+		wait = wait * time.Duration(e.running) / time.Duration(e.settings.Knee)
+	}
+	if e.faults.Slow > 0 {
+		wait = time.Duration(float64(wait) * e.faults.Slow)
+	}
+	return life == e.life && !e.faults.Down, e.version, wait, e.faults
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, request CompletionRequest, id string, life int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := range request.MaxTokens {
+		alive, version, wait, faults := e.step(life)
+		if !alive || (faults.CutAfter > 0 && i >= faults.CutAfter) {
+			abort()
+		}
+		select {
+		case <-time.After(wait):
+		case <-r.Context().Done():
+			abort()
+		}
+		if alive, _, _, _ = e.step(life); !alive {
+			abort()
+		}
+		chunk := Chunk{ID: e.answerID(id, faults), Text: fmt.Sprintf(" w%d", i), Tokens: 1, Version: version}
+		encoded, _ := json.Marshal(chunk)
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", encoded); err != nil {
+			abort()
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+	if !e.currentFaults().Truncate {
+		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	}
+}
+
+func (e *Engine) answerID(id string, faults EngineFaults) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	before := e.lastID
+	e.lastID = id
+	if faults.CrossAnswers && before != "" {
+		return before
+	}
+	return id
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	load := EngineLoad{Running: e.running, Version: e.reported, Cold: time.Now().Before(e.coldTill)}
+	e.mu.Unlock()
+	writeJSON(w, load)
+}
+
+func (e *Engine) loadVersion(w http.ResponseWriter, r *http.Request) {
+	var order LoadOrder
+	if !readJSON(w, r, &order) {
+		return
+	}
+	e.mu.Lock()
+	if e.settings.CheckFence && order.Fence < e.fence {
+		e.mu.Unlock()
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	e.fence = max(e.fence, order.Fence)
+	e.mu.Unlock()
+	time.Sleep(e.settings.Swap)
+	e.mu.Lock()
+	if !e.faults.SwapFails {
+		e.version = order.Version
+	}
+	e.reported = e.version
+	if e.faults.SwapLies {
+		e.reported = order.Version
+	}
+	e.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults EngineFaults
+	if !readJSON(w, r, &faults) {
+		return
+	}
+	e.mu.Lock()
+	e.faults = faults
+	e.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+// cool turns the engine cold without a warning.
+func (e *Engine) cool(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	e.coldTill = time.Now().Add(e.settings.ColdFor)
+	e.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+func (e *Engine) readSeen(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	seen := e.seen
+	seen.Version = e.version
+	seen.Requests = map[string]int{}
+	for id, count := range e.seen.Requests {
+		seen.Requests[id] = count
+	}
+	e.mu.Unlock()
+	writeJSON(w, seen)
+}
--- /dev/null
+++ b/src/standin/platform.go
@@ -0,0 +1,341 @@
+package standin
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+)
+
+// PlatformFaults are the faults of the platform stand-in.
+type PlatformFaults struct {
+	// Down refuses every call with 503.
+	Down bool `json:"down"`
+	// Hang holds every call until the caller gives up.
+	Hang bool `json:"hang"`
+	// SlowMillis delays every call.
+	SlowMillis int `json:"slow_millis"`
+	// LoseAnswers is the share (0 to 1) of writes whose answer is lost after the effect.
+	LoseAnswers float64 `json:"lose_answers"`
+	// StaleList freezes the live list as it is.
+	StaleList bool `json:"stale_list"`
+	// IgnoreFence takes orders and reports with old fencing numbers.
+	IgnoreFence bool `json:"ignore_fence"`
+}
+
+// ReceivedOrder is an order as the platform received it.
+type ReceivedOrder struct {
+	sesamepitch.EndpointOrder
+	At     time.Time `json:"at"`
+	Result string    `json:"result"`
+}
+
+// ReceivedReport is a usage report as the platform received it.
+type ReceivedReport struct {
+	sesamepitch.UsageReport
+	At     time.Time `json:"at"`
+	Result string    `json:"result"`
+}
+
+// PlatformJournal is what the platform saw, for tests and reports.
+type PlatformJournal struct {
+	Orders  []ReceivedOrder  `json:"orders"`
+	Reports []ReceivedReport `json:"reports"`
+	Reads   int64            `json:"reads"`
+	Writes  int64            `json:"writes"`
+	Bytes   int64            `json:"bytes"`
+}
+
+// Platform is the platform stand-in: table, objects, orders, usage, live list.
+type Platform struct {
+	mu       sync.Mutex
+	faults   PlatformFaults
+	revision int64
+	rows     map[string]sesamepitch.Row
+	objects  map[string][]byte
+	orders   map[string]sesamepitch.EndpointOrder
+	reports  map[string]sesamepitch.UsageReport
+	fences   map[string]int64
+	live     map[string]sesamepitch.Liveness
+	shown    []sesamepitch.Liveness
+	journal  PlatformJournal
+	mux      *http.ServeMux
+}
+
+// NewPlatform returns an empty platform.
+func NewPlatform() *Platform {
+	p := &Platform{
+		rows:    map[string]sesamepitch.Row{},
+		objects: map[string][]byte{},
+		orders:  map[string]sesamepitch.EndpointOrder{},
+		reports: map[string]sesamepitch.UsageReport{},
+		fences:  map[string]int64{},
+		live:    map[string]sesamepitch.Liveness{},
+		mux:     http.NewServeMux(),
+	}
+	p.mux.HandleFunc("GET /table/row", p.get)
+	p.mux.HandleFunc("GET /table/rows", p.list)
+	p.mux.HandleFunc("POST /table/commit", p.commit)
+	p.mux.HandleFunc("PUT /objects/{name}", p.putObject)
+	p.mux.HandleFunc("GET /objects/{name}", p.getObject)
+	p.mux.HandleFunc("POST /orders", p.order)
+	p.mux.HandleFunc("GET /orders/{id}", p.ordered)
+	p.mux.HandleFunc("POST /usage", p.report)
+	p.mux.HandleFunc("GET /usage/{id}", p.reported)
+	p.mux.HandleFunc("GET /live", p.liveList)
+	p.mux.HandleFunc("POST /control/faults", p.setFaults)
+	p.mux.HandleFunc("POST /control/live", p.setLive)
+	p.mux.HandleFunc("GET /control/journal", p.readJournal)
+	return p
+}
+
+// ServeHTTP applies the faults, then answers.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/control/") {
+		p.mux.ServeHTTP(w, r)
+		return
+	}
+	p.mu.Lock()
+	faults := p.faults
+	if r.Method == http.MethodGet {
+		p.journal.Reads++
+	} else {
+		p.journal.Writes++
+	}
+	p.journal.Bytes += max(r.ContentLength, 0)
+	p.mu.Unlock()
+	if faults.Hang {
+		<-r.Context().Done()
+		abort()
+	}
+	time.Sleep(time.Duration(faults.SlowMillis) * time.Millisecond)
+	if faults.Down {
+		http.Error(w, "platform is down", http.StatusServiceUnavailable)
+		return
+	}
+	if r.Method != http.MethodGet && rand.Float64() < faults.LoseAnswers {
+		p.mux.ServeHTTP(discard{header: http.Header{}}, r)
+		abort()
+	}
+	p.mux.ServeHTTP(w, r)
+}
+
+// discard takes an answer that is lost on its way.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d discard) WriteHeader(int)             {}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	row := p.rows[r.URL.Query().Get("key")]
+	p.mu.Unlock()
+	writeJSON(w, row)
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	rows := []sesamepitch.Row{}
+	p.mu.Lock()
+	for key, row := range p.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	p.mu.Unlock()
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	writeJSON(w, rows)
+}
+
+func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
+	var txn sesamepitch.Txn
+	if !readJSON(w, r, &txn) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, check := range txn.Checks {
+		if p.rows[check.Key].Version != check.Version {
+			http.Error(w, check.Key, http.StatusConflict)
+			return
+		}
+	}
+	p.revision++
+	for _, write := range txn.Writes {
+		if write.Delete {
+			delete(p.rows, write.Key)
+			continue
+		}
+		p.rows[write.Key] = sesamepitch.Row{Key: write.Key, Value: write.Value, Version: p.revision}
+	}
+	writeJSON(w, map[string]int64{"revision": p.revision})
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	var content []byte
+	if !readJSON(w, r, &content) {
+		return
+	}
+	p.mu.Lock()
+	p.objects[r.PathValue("name")] = content
+	p.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	content, found := p.objects[r.PathValue("name")]
+	p.mu.Unlock()
+	if !found {
+		http.NotFound(w, r)
+		return
+	}
+	writeJSON(w, content)
+}
+
+func (p *Platform) order(w http.ResponseWriter, r *http.Request) {
+	var order sesamepitch.EndpointOrder
+	if !readJSON(w, r, &order) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	result := p.takeOrder(order)
+	p.journal.Orders = append(p.journal.Orders, ReceivedOrder{EndpointOrder: order, At: time.Now(), Result: result})
+	if result == resultRefused {
+		http.Error(w, "old fencing number or late order", http.StatusConflict)
+		return
+	}
+	writeJSON(w, struct{}{})
+}
+
+// The results in the journal.
+const (
+	resultTaken    = "taken"
+	resultRepeated = "repeated"
+	resultRefused  = "refused"
+)
+
+func (p *Platform) takeOrder(order sesamepitch.EndpointOrder) string {
+	if _, repeated := p.orders[order.ID]; repeated {
+		return resultRepeated
+	}
+	fence := "orders/" + order.Centre
+	if !p.faults.IgnoreFence && (order.Fence < p.fences[fence] || time.Now().After(order.NotAfter)) {
+		return resultRefused
+	}
+	p.fences[fence] = max(order.Fence, p.fences[fence])
+	p.orders[order.ID] = order
+	switch order.Action {
+	case sesamepitch.ActionStart:
+		p.live[order.Endpoint] = sesamepitch.Liveness{Name: order.Endpoint, Centre: order.Centre, State: sesamepitch.StateLive}
+	case sesamepitch.ActionStop:
+		delete(p.live, order.Endpoint)
+	}
+	return resultTaken
+}
+
+func (p *Platform) ordered(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	order, found := p.orders[r.PathValue("id")]
+	p.mu.Unlock()
+	if !found {
+		http.NotFound(w, r)
+		return
+	}
+	writeJSON(w, order)
+}
+
+func (p *Platform) report(w http.ResponseWriter, r *http.Request) {
+	var report sesamepitch.UsageReport
+	if !readJSON(w, r, &report) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	result := resultTaken
+	if _, repeated := p.reports[report.ID]; repeated {
+		result = resultRepeated
+	}
+	if !p.faults.IgnoreFence && report.Fence < p.fences["usage"] {
+		result = resultRefused
+	}
+	p.journal.Reports = append(p.journal.Reports, ReceivedReport{UsageReport: report, At: time.Now(), Result: result})
+	if result == resultRefused {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	p.fences["usage"] = max(report.Fence, p.fences["usage"])
+	if result == resultTaken {
+		p.reports[report.ID] = report
+	}
+	writeJSON(w, struct{}{})
+}
+
+func (p *Platform) reported(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	report, found := p.reports[r.PathValue("id")]
+	p.mu.Unlock()
+	if !found {
+		http.NotFound(w, r)
+		return
+	}
+	writeJSON(w, report)
+}
+
+func (p *Platform) liveList(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	if !p.faults.StaleList || p.shown == nil {
+		p.shown = []sesamepitch.Liveness{}
+		for _, liveness := range p.live {
+			p.shown = append(p.shown, liveness)
+		}
+		sort.Slice(p.shown, func(i, j int) bool { return p.shown[i].Name < p.shown[j].Name })
+	}
+	shown := p.shown
+	p.mu.Unlock()
+	writeJSON(w, shown)
+}
+
+func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults PlatformFaults
+	if !readJSON(w, r, &faults) {
+		return
+	}
+	p.mu.Lock()
+	p.faults = faults
+	p.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+// setLive sets the state of one endpoint; an empty state removes it.
+func (p *Platform) setLive(w http.ResponseWriter, r *http.Request) {
+	var liveness sesamepitch.Liveness
+	if !readJSON(w, r, &liveness) {
+		return
+	}
+	p.mu.Lock()
+	if liveness.State == "" {
+		delete(p.live, liveness.Name)
+	} else {
+		p.live[liveness.Name] = liveness
+	}
+	p.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+func (p *Platform) readJournal(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	p.mu.Lock()
+	journal := p.journal
+	journal.Orders = append([]ReceivedOrder{}, p.journal.Orders...)
+	journal.Reports = append([]ReceivedReport{}, p.journal.Reports...)
+	p.mu.Unlock()
+	writeJSON(w, journal)
+}
--- /dev/null
+++ b/src/usage/meter.go
@@ -0,0 +1,195 @@
+package usage
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/platform"
+	"sesamepitch/src/supervisor"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	flushEvery     = time.Second
+	windowAttempts = 4
+	keptWindows    = 16
+)
+
+// flushed is the row that says how far a daemon's records are in the table.
+type flushed struct {
+	Record int64 `json:"record"`
+}
+
+// Meter counts this daemon's uses and flushes them to the table.
+type Meter struct {
+	clock  sesamepitch.Clock
+	log    logr.Logger
+	table  sesamepitch.Table
+	run    string
+	length time.Duration
+
+	mu      sync.Mutex
+	last    int64
+	safe    int64
+	pending Figures
+
+	flushing sync.Mutex
+	stuck    *batch
+	sums     map[string]Figures
+	version  int64
+}
+
+// NewMeter returns the meter of one run of a daemon; run must be used by no
+// other process.
+func NewMeter(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, run string, length time.Duration) *Meter {
+	return &Meter{clock: clock, log: log, table: table, run: run, length: length, pending: Figures{}, sums: map[string]Figures{}}
+}
+
+// Record counts one use and returns its number.
+func (m *Meter) Record(workspace string, tokens int, milliCost int64) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.last++
+	m.pending.Add(workspace, 1, int64(tokens), milliCost)
+	return m.last
+}
+
+// Safe returns the number of the last record that is in the table.
+func (m *Meter) Safe() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.safe
+}
+
+// Workers returns the meter's supervised task.
+func (m *Meter) Workers() []supervisor.Worker {
+	return []supervisor.Worker{
+		supervisor.NewWorker("usage-flush", func(ctx context.Context) error {
+			return supervisor.Every(ctx, m.clock, flushEvery, func(ctx context.Context) { _ = m.Flush(ctx) })
+		}),
+	}
+}
+
+// batch is a part of the records on its way to the table. After a lost answer
+// it is sent again as it is, so that the table shows whether it has arrived.
+type batch struct {
+	upTo  int64
+	taken Figures
+}
+
+// Flush brings all records into the table.
+func (m *Meter) Flush(ctx context.Context) error {
+	m.flushing.Lock()
+	defer m.flushing.Unlock()
+	for {
+		if m.stuck == nil {
+			m.stuck = m.take()
+		}
+		if m.stuck == nil {
+			return nil
+		}
+		if err := m.write(ctx, m.stuck.upTo, m.stuck.taken); err != nil {
+			return err
+		}
+		m.mu.Lock()
+		m.safe = m.stuck.upTo
+		m.mu.Unlock()
+		m.stuck = nil
+	}
+}
+
+// take takes the pending records; nil if there are none.
+func (m *Meter) take() *batch {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.pending) == 0 {
+		return nil
+	}
+	taken := &batch{upTo: m.last, taken: m.pending}
+	m.pending = Figures{}
+	return taken
+}
+
+// write adds sums to the first window that is still open.
+func (m *Meter) write(ctx context.Context, upTo int64, taken Figures) error {
+	window := WindowAt(m.clock.Now(), m.length)
+	var err error
+	for range windowAttempts {
+		err = m.commit(ctx, window, upTo, taken)
+		if sesamepitch.KindOf(err) != sesamepitch.KindConflict {
+			return err
+		}
+		if sealed, readErr := m.sealed(ctx); readErr != nil || sealed {
+			m.log.Info("usage sealed by another daemon", "run", m.run, "records", upTo)
+			return err
+		}
+		window = window.Next()
+	}
+	return err
+}
+
+func (m *Meter) sealed(ctx context.Context) (bool, error) {
+	var row flushed
+	version, err := platform.Read(ctx, m.table, sealedPrefix+m.run, &row)
+	return version != 0, err
+}
+
+func (m *Meter) commit(ctx context.Context, window Window, upTo int64, taken Figures) error {
+	sums := Figures{}
+	sums.AddAll(m.sums[window.ID()])
+	sums.AddAll(taken)
+	revision, err := m.table.Commit(ctx, sesamepitch.Txn{
+		Checks: []sesamepitch.Check{
+			window.Open(),
+			{Key: sealedPrefix + m.run},
+			{Key: flushedPrefix + m.run, Version: m.version},
+		},
+		Writes: []sesamepitch.Write{
+			{Key: window.rowKey("m/" + m.run), Value: platform.Encode(Row{Figures: sums})},
+			{Key: flushedPrefix + m.run, Value: platform.Encode(flushed{Record: upTo})},
+		},
+	})
+	if err != nil {
+		revision, err = m.confirm(ctx, upTo, err)
+	}
+	if err != nil {
+		return err
+	}
+	m.version = revision
+	m.sums[window.ID()] = sums
+	m.forgetOld()
+	return nil
+}
+
+// forgetOld drops the sums of windows that must be closed by now.
+func (m *Meter) forgetOld() {
+	for len(m.sums) > keptWindows {
+		oldest := ""
+		for id := range m.sums {
+			if oldest == "" || id < oldest {
+				oldest = id
+			}
+		}
+		delete(m.sums, oldest)
+	}
+}
+
+// confirm reads back whether a flush whose answer was lost took effect.
+func (m *Meter) confirm(ctx context.Context, upTo int64, cause error) (int64, error) {
+	kind := sesamepitch.KindOf(cause)
+	if kind != sesamepitch.KindUnknown && kind != sesamepitch.KindConflict {
+		return 0, cause
+	}
+	var row flushed
+	version, err := platform.Read(ctx, m.table, flushedPrefix+m.run, &row)
+	if err != nil {
+		return 0, cause
+	}
+	if version != m.version && row.Record == upTo {
+		return version, nil
+	}
+	return 0, cause
+}
--- /dev/null
+++ b/src/usage/window.go
@@ -0,0 +1,89 @@
+// Package usage counts what each workspace used and reports it window by
+// window. Each use ends in exactly one window: a daemon adds to a window only
+// while it is not closed, in the same transaction; figures are frozen before
+// they are reported, and never counted again.
+package usage
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+)
+
+const (
+	windowPrefix   = "usage/w/"
+	closingPrefix  = "usage/closing/"
+	frozenPrefix   = "usage/frozen/"
+	reportedPrefix = "usage/reported/"
+	flushedPrefix  = "usage/flushed/"
+	sealedPrefix   = "usage/sealed/"
+	cursorKey      = "usage/cursor"
+	leaseKey       = "usage/lease"
+)
+
+// Window is one interval of usage, named by its start.
+type Window struct {
+	start  time.Time
+	length time.Duration
+}
+
+// WindowAt returns the window that holds t.
+func WindowAt(t time.Time, length time.Duration) Window {
+	return Window{start: t.UTC().Truncate(length), length: length}
+}
+
+// ID is the window's name in the table and in reports.
+func (w Window) ID() string { return fmt.Sprintf("%012d", w.start.UnixMilli()) }
+
+// End returns the window's end.
+func (w Window) End() time.Time { return w.start.Add(w.length) }
+
+// Next returns the window after w.
+func (w Window) Next() Window { return Window{start: w.End(), length: w.length} }
+
+func (w Window) closingKey() string { return closingPrefix + w.ID() }
+
+func (w Window) rowKey(name string) string { return windowPrefix + w.ID() + "/" + name }
+
+// Open returns the check that the window is not closed.
+func (w Window) Open() sesamepitch.Check { return sesamepitch.Check{Key: w.closingKey()} }
+
+// BatchKey is the row of a batch of delivered samples.
+func (w Window) BatchKey(batch string) string { return w.rowKey("b/" + batch) }
+
+// Figures are sums by workspace.
+type Figures map[string]sesamepitch.UsageFigure
+
+// Add counts one use.
+func (f Figures) Add(workspace string, requests, tokens, milliCost int64) {
+	sum := f[workspace]
+	sum.Workspace = workspace
+	sum.Requests += requests
+	sum.Tokens += tokens
+	sum.MilliCost += milliCost
+	f[workspace] = sum
+}
+
+// AddAll counts other sums.
+func (f Figures) AddAll(other Figures) {
+	for workspace, sum := range other {
+		f.Add(workspace, sum.Requests, sum.Tokens, sum.MilliCost)
+	}
+}
+
+// List returns the sums in workspace order.
+func (f Figures) List() []sesamepitch.UsageFigure {
+	list := make([]sesamepitch.UsageFigure, 0, len(f))
+	for _, sum := range f {
+		list = append(list, sum)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Workspace < list[j].Workspace })
+	return list
+}
+
+// Row is a row of a window: sums that one writer has added to it.
+type Row struct {
+	Figures Figures `json:"figures"`
+}
