--- /dev/null
+++ b/src/command/load.go
@@ -0,0 +1,3 @@
+package command
+
+func runLoad(_ environment, _ LoadOptions) error { return nil }
--- a/src/command/operate.go
+++ b/src/command/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
 	"encoding/base64"
 	"fmt"
@@ -12,6 +13,7 @@
 	"text/tabwriter"
 
 	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/deployment"
 	"sesamepitch/src/document"
 	"sesamepitch/src/notice"
 	"sesamepitch/src/operator"
@@ -216,3 +218,9 @@
 	}
 	return table.Flush()
 }
+
+// withdrawKey withdraws a key through one instance of a local deployment.
+func withdrawKey(ctx context.Context, instance *deployment.Instance, name string) error {
+	_, err := instance.Operator().Withdraw(ctx, operator.Withdrawal{Name: name})
+	return err
+}
--- a/src/placement/placement.go
+++ b/src/placement/placement.go
@@ -38,6 +38,8 @@
 	Suspect bool
 	// Reserve is how many streams of each endpoint are kept for interactive work.
 	Reserve int
+	// Only names the endpoint that the request may use; any if empty.
+	Only string
 }
 
 // Decision is the endpoint chosen, why, and what was passed over.
@@ -91,6 +93,8 @@
 		limit -= request.Reserve
 	}
 	switch {
+	case request.Only != "" && c.Name != request.Only:
+		return "unproven"
 	case c.Leaving:
 		return "leaving"
 	case c.Broken:
--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -34,6 +34,7 @@
 	tokens  int
 	renewed time.Time
 	revoked bool
+	life    int
 }
 
 // endpointState is what the owner knows of one endpoint.
@@ -42,6 +43,7 @@
 	ramp      *ramp.Ramp
 	running   int
 	suspects  int
+	life      int
 	version   int64
 	fails     int
 	brokenTo  time.Time
@@ -69,10 +71,11 @@
 	memberSeen time.Time
 	// knownWarm names the endpoints that the last owner knew as warm.
 	knownWarm map[string]bool
+	contents  *contents
 }
 
 func newCell(id centre.CellID, openAt time.Time) *cell {
-	return &cell{id: id, queue: share.NewQueue(), waiters: map[string]*waiter{}, grants: map[string]*grant{}, endpoints: map[string]*endpointState{}, knownWarm: map[string]bool{}, openAt: openAt}
+	return &cell{id: id, queue: share.NewQueue(), waiters: map[string]*waiter{}, grants: map[string]*grant{}, endpoints: map[string]*endpointState{}, knownWarm: map[string]bool{}, contents: newContents(), openAt: openAt}
 }
 
 func rampSettings(e document.Endpoint) ramp.Settings {
@@ -203,7 +206,7 @@
 func (c *cell) placementRequest(now time.Time, r Request) placement.Request {
 	return placement.Request{
 		MinVersion: r.MinVersion, Avoid: r.Avoid, Interactive: r.Interactive,
-		Urgent: r.Urgent, Suspect: r.Suspect, Reserve: c.reserve(now),
+		Urgent: r.Urgent, Suspect: r.Suspect, Reserve: c.reserve(now), Only: c.contents.only(r.Fingerprint),
 	}
 }
 
@@ -268,15 +271,17 @@
 	}
 	state.ramp.Sent(now)
 	state.learn(r.Prefix)
+	c.contents.sent(r.Fingerprint, endpoint, now)
 	c.grants[r.ID] = &grant{
 		held:  Held{ID: r.ID, Endpoint: endpoint, Workspace: r.Workspace, Fingerprint: r.Fingerprint, Suspect: r.Suspect},
-		entry: r.Entry, run: r.Run, weight: r.Weight, tokens: r.Tokens, renewed: now,
+		entry: r.Entry, run: r.Run, weight: r.Weight, tokens: r.Tokens, renewed: now, life: state.life,
 	}
 }
 
 // adopt counts a stream that an earlier owner granted.
 func (c *cell) adopt(now time.Time, entry, run string, held Held) {
 	c.grants[held.ID] = &grant{held: held, entry: entry, run: run, weight: 1, renewed: now}
+	c.contents.sent(held.Fingerprint, held.Endpoint, now)
 	state := c.endpoints[held.Endpoint]
 	if state == nil {
 		return
@@ -294,6 +299,7 @@
 		return nil, false
 	}
 	delete(c.grants, id)
+	c.contents.ended(g.held.Fingerprint, g.held.Endpoint)
 	if state := c.endpoints[g.held.Endpoint]; state != nil {
 		state.running = max(state.running-1, 0)
 		if g.held.Suspect {
--- /dev/null
+++ b/src/pool/content.go
@@ -0,0 +1,101 @@
+package pool
+
+import (
+	"fmt"
+	"time"
+)
+
+const maxContents = 8192
+
+// content is what the owner knows of one prompt. Until it has been answered
+// whole once, it runs on one endpoint at a time, so that a content that crashes
+// endpoints takes them one by one.
+type content struct {
+	proven  bool
+	running map[string]int
+	usedAt  time.Time
+}
+
+// contents are the prompts seen lately, by fingerprint.
+type contents struct {
+	known map[string]*content
+}
+
+func newContents() *contents { return &contents{known: map[string]*content{}} }
+
+// only returns the endpoint that an unproven content already runs on; empty if
+// it may run anywhere.
+func (c *contents) only(fingerprint string) string {
+	known := c.known[fingerprint]
+	if known == nil || known.proven {
+		return ""
+	}
+	for endpoint := range known.running {
+		return endpoint
+	}
+	return ""
+}
+
+func (c *contents) isProven(fingerprint string) bool {
+	known := c.known[fingerprint]
+	return known != nil && known.proven
+}
+
+func (c *contents) sent(fingerprint, endpoint string, now time.Time) {
+	if fingerprint == "" {
+		return
+	}
+	known := c.known[fingerprint]
+	if known == nil {
+		c.makeRoom()
+		known = &content{running: map[string]int{}}
+		c.known[fingerprint] = known
+	}
+	known.running[endpoint]++
+	known.usedAt = now
+}
+
+func (c *contents) ended(fingerprint, endpoint string) {
+	known := c.known[fingerprint]
+	if known == nil {
+		return
+	}
+	known.running[endpoint]--
+	if known.running[endpoint] <= 0 {
+		delete(known.running, endpoint)
+	}
+}
+
+func (c *contents) prove(fingerprint string) {
+	if known := c.known[fingerprint]; known != nil {
+		known.proven = true
+	}
+}
+
+// makeRoom forgets the content that was used longest ago.
+func (c *contents) makeRoom() {
+	if len(c.known) < maxContents {
+		return
+	}
+	oldest := ""
+	for fingerprint, known := range c.known {
+		if len(known.running) == 0 && (oldest == "" || known.usedAt.Before(c.known[oldest].usedAt)) {
+			oldest = fingerprint
+		}
+	}
+	delete(c.known, oldest)
+}
+
+// crashEvent names one crash of an endpoint: all streams that were granted in
+// the same life of the endpoint saw the same crash.
+func (c *cell) crashEvent(g *grant) string {
+	return fmt.Sprintf("%s/%d/%d", g.held.Endpoint, c.openAt.UnixNano(), g.life)
+}
+
+// noteLife begins the endpoint's next life with the first stream that broke off
+// in this one.
+func (e *endpointState) noteLife(g *grant) {
+	if g.life == e.life {
+		e.life++
+	}
+}
--- a/src/pool/owner.go
+++ b/src/pool/owner.go
@@ -269,8 +269,11 @@
 	if state == nil {
 		return
 	}
-	if r.Outcome == Crashed {
+	switch r.Outcome {
+	case Crashed:
 		o.noteCrash(state, r)
+	case Whole:
+		state.contents.prove(r.Fingerprint)
 	}
 	if g, found := state.drop(r.ID); found {
 		state.queue.Correct(g.held.Workspace, g.weight, r.Tokens-g.tokens)
@@ -282,18 +285,20 @@
 	o.dispatch(state)
 }
 
-// noteCrash holds a crash against the content that broke off. Where a suspect
-// ran on the endpoint, it alone is held to be the cause.
+// noteCrash holds a crash against the content that broke off, unless it has
+// been answered whole before. Where a suspect ran on the endpoint, it alone is
+// held to be the cause.
 func (o *Owner) noteCrash(state *cell, r Release) {
 	g, found := state.grants[r.ID]
-	if !found || r.Fingerprint == "" {
+	endpoint := state.endpoints[r.Endpoint]
+	if !found || endpoint == nil {
 		return
 	}
-	if endpoint := state.endpoints[r.Endpoint]; endpoint != nil && endpoint.suspects > 0 && !g.held.Suspect {
+	endpoint.noteLife(g)
+	if r.Fingerprint == "" || state.contents.isProven(r.Fingerprint) || (endpoint.suspects > 0 && !g.held.Suspect) {
 		return
 	}
-	event := r.Endpoint + "/" + r.ID
-	o.notices.Add("", o.notices.NewCrash(r.Fingerprint, event, r.Entry))
+	o.notices.Add("", o.notices.NewCrash(r.Fingerprint, state.crashEvent(g), r.Entry))
 	o.log.Info("content suspected", "fingerprint", r.Fingerprint, "endpoint", r.Endpoint, "request", r.ID, "crashes", o.notices.Crashes(r.Fingerprint))
 }
 
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -109,12 +109,14 @@
 	fence    int64
 	running  int
 	coldTill time.Time
-	downTill time.Time
-	life     int
-	lastID   string
-	cache    []string
-	seen     EngineSeen
-	mux      *http.ServeMux
+	// coldSince is when a warm engine turned cold; zero after a start.
+	coldSince time.Time
+	downTill  time.Time
+	life      int
+	lastID    string
+	cache     []string
+	seen      EngineSeen
+	mux       *http.ServeMux
 }
 
 // NewEngine returns an engine with these settings.
@@ -198,7 +200,7 @@
 	}
 	e.running++
 	e.seen.MaxRunning = max(e.seen.MaxRunning, e.running)
-	if time.Now().Before(e.coldTill) && e.running > e.settings.ColdLimit {
+	if e.overloaded() {
 		e.seen.ColdOverloads++
 		e.crashLocked()
 		return 0, false, false
@@ -206,6 +208,21 @@
 	return e.life, e.touchCache(request.Prompt), true
 }
 
+// coldSlowness is how many times longer a token takes in cold start.
+const coldSlowness = 2
+
+// coldPatience is how long an engine that turned cold bears the streams that
+// it has; one that starts bears no more than its limit at once.
+const coldPatience = 3 * time.Second
+
+func (e *Engine) overloaded() bool {
+	now := time.Now()
+	if !now.Before(e.coldTill) || e.running <= e.settings.ColdLimit {
+		return false
+	}
+	return e.coldSince.IsZero() || now.Sub(e.coldSince) > coldPatience
+}
+
 const prefixBytes = 64
 
 // touchCache moves the prompt's prefix to the front and tells whether it was there.
@@ -244,7 +261,7 @@
 	e.life++
 	e.running = 0
 	e.cache = nil
-	e.coldTill = time.Time{}
+	e.coldTill, e.coldSince = time.Time{}, time.Time{}
 	e.downTill = time.Now().Add(e.settings.Restart)
 	e.seen.Crashes++
 }
@@ -264,9 +281,16 @@
 	if e.running > e.settings.Knee {
 		wait = wait * time.Duration(e.running) / time.Duration(e.settings.Knee)
 	}
+	if time.Now().Before(e.coldTill) {
+		wait *= coldSlowness
+	}
 	if e.faults.Slow > 0 {
 		wait = time.Duration(float64(wait) * e.faults.Slow)
 	}
+	if life == e.life && e.overloaded() {
+		e.seen.ColdOverloads++
+		e.crashLocked()
+	}
 	return life == e.life && !e.faults.Down, e.version, wait, e.faults
 }
 
@@ -346,28 +370,43 @@
 	if !readJSON(w, r, &faults) {
 		return
 	}
-	e.mu.Lock()
-	e.faults = faults
-	e.mu.Unlock()
+	e.SetFaults(faults)
 	writeJSON(w, struct{}{})
 }
 
-// cool turns the engine cold without a warning.
 func (e *Engine) cool(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	e.coldTill = time.Now().Add(e.settings.ColdFor)
-	e.mu.Unlock()
+	e.Cool()
 	writeJSON(w, struct{}{})
 }
 
 func (e *Engine) readSeen(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, e.Seen())
+}
+
+// SetFaults switches the engine's faults.
+func (e *Engine) SetFaults(faults EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+}
+
+// Seen returns what the engine saw.
+func (e *Engine) Seen() EngineSeen {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	seen := e.seen
 	seen.Version = e.version
 	seen.Requests = map[string]int{}
 	for id, count := range e.seen.Requests {
 		seen.Requests[id] = count
 	}
-	e.mu.Unlock()
-	writeJSON(w, seen)
+	return seen
+}
+
+// Cool turns the engine cold without a warning.
+func (e *Engine) Cool() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldTill = time.Now().Add(e.settings.ColdFor)
+	e.coldSince = time.Now()
 }
--- a/src/standin/platform.go
+++ b/src/standin/platform.go
@@ -208,7 +208,7 @@
 	defer p.mu.Unlock()
 	result := p.takeOrder(order)
 	p.journal.Orders = append(p.journal.Orders, ReceivedOrder{EndpointOrder: order, At: time.Now(), Result: result})
-	if result == resultRefused {
+	if result == ResultRefused {
 		http.Error(w, "old fencing number or late order", http.StatusConflict)
 		return
 	}
@@ -217,18 +217,18 @@
 
 // The results in the journal.
 const (
-	resultTaken    = "taken"
-	resultRepeated = "repeated"
-	resultRefused  = "refused"
+	ResultTaken    = "taken"
+	ResultRepeated = "repeated"
+	ResultRefused  = "refused"
 )
 
 func (p *Platform) takeOrder(order sesamepitch.EndpointOrder) string {
 	if _, repeated := p.orders[order.ID]; repeated {
-		return resultRepeated
+		return ResultRepeated
 	}
 	fence := "orders/" + order.Centre
 	if !p.faults.IgnoreFence && (order.Fence < p.fences[fence] || time.Now().After(order.NotAfter)) {
-		return resultRefused
+		return ResultRefused
 	}
 	p.fences[fence] = max(order.Fence, p.fences[fence])
 	p.orders[order.ID] = order
@@ -238,7 +238,7 @@
 	case sesamepitch.ActionStop:
 		delete(p.live, order.Endpoint)
 	}
-	return resultTaken
+	return ResultTaken
 }
 
 func (p *Platform) ordered(w http.ResponseWriter, r *http.Request) {
@@ -259,20 +259,20 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	result := resultTaken
+	result := ResultTaken
 	if _, repeated := p.reports[report.ID]; repeated {
-		result = resultRepeated
+		result = ResultRepeated
 	}
 	if !p.faults.IgnoreFence && report.Fence < p.fences["usage"] {
-		result = resultRefused
+		result = ResultRefused
 	}
 	p.journal.Reports = append(p.journal.Reports, ReceivedReport{UsageReport: report, At: time.Now(), Result: result})
-	if result == resultRefused {
+	if result == ResultRefused {
 		http.Error(w, "old fencing number", http.StatusConflict)
 		return
 	}
 	p.fences["usage"] = max(report.Fence, p.fences["usage"])
-	if result == resultTaken {
+	if result == ResultTaken {
 		p.reports[report.ID] = report
 	}
 	writeJSON(w, struct{}{})
@@ -308,34 +308,48 @@
 	if !readJSON(w, r, &faults) {
 		return
 	}
+	p.SetFaults(faults)
+	writeJSON(w, struct{}{})
+}
+
+// SetFaults switches the platform's faults.
+func (p *Platform) SetFaults(faults PlatformFaults) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.faults = faults
-	p.mu.Unlock()
-	writeJSON(w, struct{}{})
 }
 
-// setLive sets the state of one endpoint; an empty state removes it.
-func (p *Platform) setLive(w http.ResponseWriter, r *http.Request) {
-	var liveness sesamepitch.Liveness
-	if !readJSON(w, r, &liveness) {
-		return
-	}
+// SetLive sets the state of one endpoint; an empty state removes it.
+func (p *Platform) SetLive(liveness sesamepitch.Liveness) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if liveness.State == "" {
 		delete(p.live, liveness.Name)
-	} else {
-		p.live[liveness.Name] = liveness
+		return
 	}
-	p.mu.Unlock()
-	writeJSON(w, struct{}{})
+	p.live[liveness.Name] = liveness
 }
 
-func (p *Platform) readJournal(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
+// Journal returns what the platform saw.
+func (p *Platform) Journal() PlatformJournal {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	journal := p.journal
 	journal.Orders = append([]ReceivedOrder{}, p.journal.Orders...)
 	journal.Reports = append([]ReceivedReport{}, p.journal.Reports...)
-	p.mu.Unlock()
-	writeJSON(w, journal)
+	return journal
+}
+
+func (p *Platform) setLive(w http.ResponseWriter, r *http.Request) {
+	var liveness sesamepitch.Liveness
+	if !readJSON(w, r, &liveness) {
+		return
+	}
+	p.SetLive(liveness)
+	writeJSON(w, struct{}{})
+}
+
+func (p *Platform) readJournal(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	writeJSON(w, p.Journal())
 }
