A new leader settles as soon as earlier owners are accounted for

The log shows each new leader waiting cell lease + margin, 6.5 s, before it gives out cells, and being killed before that. Ruled out: the step's driver (it claimed the next epoch within 50 ms each time) and the lease in the table (taken 3.5 s after the kill). Change: the leader notes its members in its lease; the next one gives cells out once each of them has reported or its process is gone, after two heartbeats and a call for members that were not noted. Without that proof the old wait stays. Also: an endpoint's request that holds the caller's key is 'invalid', not run.

--- a/cluster_test.go
+++ b/cluster_test.go
@@ -371,3 +371,28 @@
 	}
 	return b.String()
 }
+
+const (
+	stopSignal     = syscall.SIGSTOP
+	continueSignal = syscall.SIGCONT
+)
+
+// cutOff cuts a data centre off from the platform and from all others.
+func (c *cluster) cutOff(centre int) {
+	own := c.ip(centre, 0)
+	own = own[:strings.LastIndex(own, ".")+1]
+	for other := 1; other <= 3; other++ {
+		theirs := c.ip(other, 0)
+		theirs = theirs[:strings.LastIndex(theirs, ".")+1]
+		if other == centre {
+			continue
+		}
+		c.net.set(own, theirs, cutting)
+		c.net.set(theirs, own, cutting)
+	}
+	for _, d := range c.daemons {
+		if strings.HasPrefix(d.ip, own) {
+			c.net.set(own, d.platform, cutting)
+		}
+	}
+}
--- a/faultproxy_test.go
+++ b/faultproxy_test.go
@@ -60,32 +60,79 @@
 // proxy passes connections to address on to target.
 func (n *network) proxy(t *testing.T, address, target string) {
 	t.Helper()
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
-			conn, err := listener.Accept()
-			if err != nil {
+			refused := n.accept(listener, address, target, ended)
+			_ = listener.Close()
+			if !refused {
 				return
 			}
-			go n.serve(conn, address, target)
+			// The target refuses connections, so the proxy does, too.
+			for listener, err = nil, net.ErrClosed; err != nil; {
+				select {
+				case <-time.After(30 * time.Millisecond):
+				case <-ended:
+					return
+				}
+				if conn, dialErr := net.Dial("tcp", target); dialErr == nil {
+					_ = conn.Close()
+					listener, err = net.Listen("tcp", address)
+				}
+			}
+		}
+	}()
+}
+
+// accept serves connections until the target refuses one or the test ends.
+func (n *network) accept(listener net.Listener, address, target string, ended <-chan struct{}) (refused bool) {
+	gone := make(chan struct{}, 1)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-gone:
+		case <-ended:
+		case <-stop:
 		}
+		_ = listener.Close()
 	}()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			select {
+			case <-ended:
+				return false
+			default:
+				return true
+			}
+		}
+		go func() {
+			if !n.serve(conn, address, target) {
+				select {
+				case gone <- struct{}{}:
+				default:
+				}
+			}
+		}()
+	}
 }
 
-func (n *network) serve(conn net.Conn, address, target string) {
+// serve passes one connection on; it returns false if the target refused it.
+func (n *network) serve(conn net.Conn, address, target string) bool {
 	defer func() { _ = conn.Close() }()
 	source, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
 	if n.state(source, address) == cutting {
-		return
+		return true
 	}
 	onward, err := net.Dial("tcp", target)
 	if err != nil {
-		// The target's refusal is passed on as a broken connection.
-		return
+		return false
 	}
 	defer func() { _ = onward.Close() }()
 	done := make(chan struct{}, 2)
@@ -93,6 +140,7 @@
 	go pump(onward, conn, state, done)
 	go pump(conn, onward, state, done)
 	<-done
+	return true
 }
 
 // pump copies bytes for as long as the link passes them.
--- /dev/null
+++ b/keys_test.go
@@ -0,0 +1,242 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"sesamepitch/src/operator"
+	"sesamepitch/src/standin"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRequestRunsOnlyForItsKey is P4: another workspace's trainer, step, service
+// and idempotency key are out of reach, and crafted headers gain nothing.
+func TestRequestRunsOnlyForItsKey(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	address, ctx := c.daemons[0].callers, context.Background()
+	step := `{"groups":[{"prompt":"p","samples":1,"max_tokens":2}]}`
+	cases := []struct {
+		name, method, path, key, body string
+		headers                       []string
+		status                        int
+	}{
+		{"no key", "POST", "/v1/completions", "", completion(2, false, "p"), nil, 401},
+		{"unknown key", "POST", "/v1/completions", "sp-unknown", completion(2, false, "p"), nil, 401},
+		{"two Authorization headers", "POST", "/v1/completions", c.key("field"), completion(2, false, "p"), []string{"Authorization", "Bearer " + c.key("other")}, 401},
+		{"key in the query", "POST", "/v1/completions?api_key=" + c.key("field"), "", completion(2, false, "p"), nil, 401},
+		{"key in a cookie", "POST", "/v1/completions", "", completion(2, false, "p"), []string{"Cookie", "Authorization=Bearer " + c.key("field")}, 401},
+		{"another workspace's trainer", "POST", "/v1/trainers/painter/steps/1", c.key("field"), step, nil, 404},
+		{"another workspace's acknowledgement", "POST", "/v1/trainers/painter/steps/1/ack", c.key("field"), `{"done":true}`, nil, 404},
+		{"another workspace's weights", "POST", "/v1/models/coach/versions", c.key("field"), `{"version":9}`, nil, 404},
+		{"another workspace's service", "POST", "/v1/services/lots/do", c.key("other"), `{}`, nil, 404},
+		{"hop-by-hop list names the key", "POST", "/v1/completions", c.key("field"), completion(2, false, "p"), []string{"Connection", "Authorization"}, 200},
+		{"own key", "POST", "/v1/completions", c.key("field"), completion(2, false, "p"), nil, 200},
+		{"open route without a key", "POST", "/about", "", `{}`, nil, 200},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			got := send(ctx, test.method, address, test.path, test.key, test.body, test.headers...)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, test.status, got.body)
+			if test.status != http.StatusOK {
+				assert.Equal(t, got.ran, "no")
+			}
+		})
+	}
+	t.Run("same idempotency key in two workspaces", func(t *testing.T) {
+		first := send(ctx, "POST", address, "/v1/services/lots/do", c.key("field"), `{"lot":1}`, "Idempotency-Key", "k1")
+		assert.Equal(t, first.status, 200)
+		other := send(ctx, "POST", address, "/v1/services/lots/do", c.key("other"), `{"lot":1}`, "Idempotency-Key", "k1")
+		assert.Equal(t, other.status, 404)
+	})
+}
+
+// TestNoEndpointSeesAKey is P5: whatever way a caller's key comes, it reaches no
+// endpoint, log, metric, error or table row.
+func TestNoEndpointSeesAKey(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	ctx, key := context.Background(), c.key("field")
+	address := c.daemons[0].callers
+	cases := []struct {
+		name, path, body string
+		headers          []string
+		status           int
+	}{
+		{"completion", "/v1/completions", completion(2, false, "p"), nil, 200},
+		{"crafted headers", "/v1/services/lots/do", `{}`, []string{"X-Api-Key", key, "Proxy-Authorization", "Bearer " + key, "Cookie", "k=" + key, "Trailer", "Authorization"}, 200},
+		{"query", "/v1/services/lots/do?api_key=" + key + "&token=" + key + "&lot=7", `{}`, nil, 200},
+		{"other query field", "/v1/services/lots/do?lot=" + key, `{}`, nil, 400},
+		{"body field", "/v1/services/lots/do", `{"api_key":"` + key + `"}`, nil, 400},
+		{"escaped body field", "/v1/services/lots/do", `{"api_key":"\u0073` + key[1:] + `"}`, nil, 400},
+		{"prompt", "/v1/completions", completion(2, false, "my key is "+key), nil, 400},
+		{"dropped body field", "/v1/completions", `{"model":"coach","prompt":"p","max_tokens":2,"api_key":"` + key + `"}`, nil, 200},
+		{"open route", "/about", `{}`, nil, 200},
+		{"path", "/v1/services/lots/" + key, `{}`, nil, 400},
+		{"content type", "/v1/services/lots/do", `{}`, []string{"Content-Type", "x/" + key}, 200},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			got := send(ctx, http.MethodPost, address, test.path, key, test.body, test.headers...)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, test.status, got.body)
+			assert.Assert(t, !strings.Contains(got.body, key), got.body)
+		})
+	}
+	for name := range c.engines {
+		secrets := c.seen(name).Secrets
+		if strings.HasPrefix(name, "judge") || strings.HasPrefix(name, "lots") {
+			secrets = c.served(name).Secrets
+		}
+		assert.Equal(t, len(secrets), 0, "%s saw %v", name, secrets)
+		for body := range c.served("lots-1").Bodies {
+			assert.Assert(t, !strings.Contains(body, key))
+		}
+	}
+	assert.Assert(t, !strings.Contains(c.dump(), key), "a log, metric or row holds the key")
+}
+
+// TestRedirectIsNotFollowed is P5: an endpoint cannot send a request elsewhere.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	trap := c.address["lots-2"]
+	for _, engine := range []string{"engine-1-1", "engine-1-2", "engine-2-1", "engine-2-2"} {
+		c.control(c.address[engine], "faults", standin.EngineFaults{Redirect: "http://" + trap + "/stolen"})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	got := send(ctx, http.MethodPost, c.daemons[0].callers, "/v1/completions", c.key("field"), completion(2, false, "p"))
+	assert.Assert(t, got.err != nil || got.status != http.StatusOK)
+	assert.Equal(t, len(c.served("lots-2").Bodies), 0)
+}
+
+// withdrawBound is the stated bound for a withdrawal on every reachable instance.
+const withdrawBound = 3 * time.Second
+
+// TestWithdrawnKeyStops is P6: idle, queued and streaming requests at every
+// instance end within the bound.
+func TestWithdrawnKeyStops(t *testing.T) {
+	t.Parallel()
+	c := standard(t, "--token-time", "20ms")
+	var streams []*stream
+	for _, d := range c.daemons {
+		streams = append(streams, openStream(t, d.callers, c.key("field"), 3000))
+	}
+	// More streams than the cold engines bear at first wait in the queue.
+	queued := make(chan reply, 40)
+	for range 40 {
+		go func() { queued <- complete(c.daemons[1].callers, c.key("field"), 2000) }()
+	}
+	time.Sleep(300 * time.Millisecond)
+	started := time.Now()
+	confirmation, err := c.daemons[3].client().Withdraw(context.Background(), operator.Withdrawal{Name: "field-1"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(confirmation.Unconfirmed), 0, "%v", confirmation.Unconfirmed)
+	assert.Equal(t, len(confirmation.Confirmed), 4)
+	for i, s := range streams {
+		last, ended := s.ended(withdrawBound - time.Since(started))
+		assert.Assert(t, ended, "stream %d goes on", i)
+		assert.Assert(t, strings.Contains(last, "withdrawn"), last)
+	}
+	for range 40 {
+		select {
+		case got := <-queued:
+			assert.Assert(t, got.err != nil || got.status == http.StatusUnauthorized, "%d %s", got.status, got.body)
+		case <-time.After(withdrawBound - time.Since(started)):
+			t.Fatal("a queued request goes on")
+		}
+	}
+	for _, d := range c.daemons {
+		assert.Equal(t, complete(d.callers, c.key("field"), 2).status, http.StatusUnauthorized, d.name)
+		assert.Equal(t, complete(d.callers, c.key("other"), 2).status, http.StatusOK, d.name)
+	}
+}
+
+// TestWithdrawalWhilePlatformIsDown is P6: a withdrawal made while the table is
+// down spreads through the peers.
+func TestWithdrawalWhilePlatformIsDown(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	time.Sleep(6 * time.Second) // The leaders list each other every five seconds.
+	c.faults(standin.PlatformFaults{Down: true})
+	time.Sleep(time.Second)
+	started := time.Now()
+	confirmation, err := c.daemons[3].client().Withdraw(context.Background(), operator.Withdrawal{Name: "field-1"})
+	assert.NilError(t, err)
+	assert.Assert(t, confirmation.Local)
+	for _, d := range c.daemons {
+		eventually(t, withdrawBound-time.Since(started), d.name+" refuses the key", func() bool {
+			return complete(d.callers, c.key("field"), 1).status == http.StatusUnauthorized
+		})
+	}
+	// A daemon that starts later learns of it, too, once the table is back.
+	c.faults(standin.PlatformFaults{})
+	c.daemons[0].kill()
+	c.run(c.daemons[0])
+	eventually(t, 15*time.Second, "the restarted daemon is ready", func() bool { return get(c.daemons[0].callers, "/readyz") == 200 })
+	assert.Equal(t, complete(c.daemons[0].callers, c.key("field"), 1).status, http.StatusUnauthorized)
+}
+
+// TestWithdrawalAndCutOffCentre is P6 at both sides of a cut: the withdrawal
+// names who has not confirmed it; a workspace without grace stops there, one
+// with grace goes on, an operator on the spot stops it, and the cut's end does.
+func TestWithdrawalAndCutOffCentre(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	c.cutOff(2)
+	time.Sleep(4 * time.Second)
+	inside, outside := c.daemons[2], c.daemons[0]
+	assert.Equal(t, complete(inside.callers, c.key("field"), 1).status, http.StatusOK, "grace of 1h: served while cut off")
+	eventually(t, 4*time.Second, "no grace: refused while cut off", func() bool {
+		got := complete(inside.callers, c.key("other"), 1)
+		return got.status == http.StatusServiceUnavailable && got.ran == "no"
+	})
+	confirmation, err := outside.client().Withdraw(context.Background(), operator.Withdrawal{Name: "field-1"})
+	assert.NilError(t, err)
+	assert.Assert(t, len(confirmation.Unconfirmed) == 2, "%v", confirmation.Unconfirmed)
+	assert.Equal(t, complete(outside.callers, c.key("field"), 1).status, http.StatusUnauthorized)
+	assert.Equal(t, complete(inside.callers, c.key("field"), 1).status, http.StatusOK, "cannot know of it")
+	_, err = inside.client().Withdraw(context.Background(), operator.Withdrawal{Name: "coaching-1"})
+	assert.NilError(t, err)
+	for _, d := range c.daemons[2:] {
+		eventually(t, withdrawBound, d.name+" refuses the key withdrawn on the spot", func() bool {
+			return complete(d.callers, c.key("coaching"), 1).status == http.StatusUnauthorized
+		})
+	}
+	c.net.heal()
+	for _, d := range c.daemons {
+		eventually(t, withdrawBound+2*time.Second, d.name+" has both withdrawals", func() bool {
+			return complete(d.callers, c.key("field"), 1).status == http.StatusUnauthorized &&
+				complete(d.callers, c.key("coaching"), 1).status == http.StatusUnauthorized
+		})
+	}
+}
+
+// TestFrozenInstanceChecksBeforeItServes is P6: an instance that was frozen
+// while a key was withdrawn does not serve it when it wakes.
+func TestFrozenInstanceChecksBeforeItServes(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	frozen := c.daemons[1]
+	frozen.signal(stopSignal)
+	time.Sleep(200 * time.Millisecond)
+	// The request waits in the frozen process's socket and is read at its waking.
+	waiting := make(chan reply, 8)
+	for range 8 {
+		go func() { waiting <- complete(frozen.callers, c.key("field"), 1) }()
+	}
+	_, err := c.daemons[3].client().Withdraw(context.Background(), operator.Withdrawal{Name: "field-1"})
+	assert.NilError(t, err)
+	time.Sleep(3500 * time.Millisecond)
+	frozen.signal(continueSignal)
+	for range 8 {
+		got := <-waiting
+		assert.Assert(t, got.err != nil || got.status == http.StatusUnauthorized, "%d %s", got.status, got.body)
+	}
+}
--- a/src/centre/leader.go
+++ b/src/centre/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"reflect"
@@ -17,6 +18,8 @@
 	// large data centre.
 	beatPerMember = 45 * time.Millisecond
 	probeTime     = 300 * time.Millisecond
+	// reportBeats is how many heartbeats members have to find a new leader.
+	reportBeats = 2
 )
 
 // memberState is what a leader knows of one member.
@@ -44,6 +47,9 @@
 	stale   map[string]int64
 	// moved is set once a cell has changed hands.
 	moved bool
+	// earlier are the members of the leader before that have neither been
+	// heard of nor found gone.
+	earlier map[string]Member
 }
 
 func (n *Node) becomeLeader(epoch Epoch, as role) {
@@ -61,7 +67,7 @@
 	n.role = as
 	n.epoch = epoch
 	n.leader = n.settings.Self
-	n.lead = &leadership{epoch: epoch, since: now, members: map[string]*memberState{}, cells: map[CellID]*tenure{}, stale: map[string]int64{}}
+	n.lead = &leadership{epoch: epoch, since: now, members: map[string]*memberState{}, cells: map[CellID]*tenure{}, stale: map[string]int64{}, earlier: n.earlierMembers()}
 	if n.view != nil {
 		n.lead.remotes = n.view.Remotes
 		n.lead.leaving = n.view.Leaving
@@ -74,12 +80,56 @@
 	n.log.Info("leader leads", "centre", n.settings.Centre, "epoch", epoch.Table, "rank", epoch.Rank)
 }
 
+// earlierMembers lists who may hold cells from the leader before: the members
+// in its lease's note and those in the last view seen here.
+func (n *Node) earlierMembers() map[string]Member {
+	earlier := map[string]Member{}
+	var noted []Member
+	_ = json.Unmarshal([]byte(n.lease.Previous().Note), &noted)
+	if n.view != nil {
+		noted = append(noted, n.view.Members...)
+	}
+	for _, member := range noted {
+		if member != n.settings.Self {
+			earlier[member.ID+"@"+member.Incarnation] = member
+		}
+	}
+	for key, member := range earlier {
+		if member.ID == n.settings.Self.ID {
+			// An earlier run of this instance: its process is gone.
+			delete(earlier, key)
+		}
+	}
+	return earlier
+}
+
+// accountFor takes a member, and earlier runs of its instance, off the list of
+// those that may hold cells unheard.
+func (l *leadership) accountFor(member Member) {
+	for key, earlier := range l.earlier {
+		if earlier.ID == member.ID {
+			delete(l.earlier, key)
+		}
+	}
+}
+
+// noteMembers leaves the members' list to the next leader.
+func (n *Node) noteMembers() {
+	encoded, err := json.Marshal(n.liveMembers())
+	if err == nil {
+		n.lease.SetNote(string(encoded))
+	}
+}
+
 // keepBooks is a leader's tick: it looks after silent members and gives cells
 // to owners.
 func (n *Node) keepBooks(ctx context.Context) {
 	for _, silent := range n.silentMembers() {
 		n.probe(ctx, silent)
 	}
+	for _, earlier := range n.unaccounted() {
+		n.probe(ctx, earlier)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.lead == nil {
@@ -96,6 +146,7 @@
 	n.cellsTill = self.till
 	n.lastBeat = now
 	n.forgetMembers(now)
+	n.noteMembers()
 	n.assign(now)
 	n.rebuildView(now)
 	n.interval = n.beatInterval()
@@ -126,6 +177,20 @@
 	return silent
 }
 
+// unaccounted lists members of the leader before that are still to be heard of.
+func (n *Node) unaccounted() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lead == nil {
+		return nil
+	}
+	var members []Member
+	for _, member := range n.lead.earlier {
+		members = append(members, member)
+	}
+	return members
+}
+
 // probe dials a silent member. A refused connection means that its process is
 // gone, so its lease need not be waited out.
 func (n *Node) probe(ctx context.Context, member Member) {
@@ -143,6 +208,7 @@
 	if n.lead == nil {
 		return
 	}
+	n.lead.accountFor(member)
 	if state := n.lead.members[member.ID]; state != nil && state.member == member {
 		n.log.Info("member removed", "member", member.ID, "reason", "connection refused")
 		n.removeMember(member)
@@ -183,9 +249,14 @@
 }
 
 // settled tells whether every grant of earlier leaders has lapsed or has been
-// claimed by its member's heartbeat.
+// claimed by its member's heartbeat. A short wait lets members report that the
+// leader before took in while it could not note them.
 func (n *Node) settled(now time.Time) bool {
-	return now.Sub(n.lead.since) > n.settings.CellLease+n.settings.Lease.Margin || n.lead.epoch == Epoch{Table: 1}
+	age := now.Sub(n.lead.since)
+	if n.lead.epoch == (Epoch{Table: 1}) || age > n.settings.CellLease+n.settings.Lease.Margin {
+		return true
+	}
+	return n.role == elected && len(n.lead.earlier) == 0 && age > reportBeats*n.settings.Beat+n.callTime()
 }
 
 // assign moves each cell towards its owner by rendezvous hash. A cell whose
@@ -381,6 +452,7 @@
 		n.log.Info("member joined", "member", args.Member.ID, "address", args.Member.Address)
 		wake(n.nudge)
 	}
+	n.lead.accountFor(args.Member)
 	n.claim(args.Member, args.Cells)
 	state.heardAt = n.clock.Now()
 	state.till = state.heardAt.Add(n.settings.CellLease)
--- a/src/endpoint/endpoint.go
+++ b/src/endpoint/endpoint.go
@@ -132,7 +132,7 @@
 		return fail(sesamepitch.KindInvalid, err)
 	}
 	if leaks(body, completion.Secret) {
-		return fail(sesamepitch.KindDenied, errLeak)
+		return fail(sesamepitch.KindInvalid, errLeak)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -237,7 +237,7 @@
 		target += "?" + call.Query
 	}
 	if leaks([]byte(target+call.ContentType), call.Secret) || leaks(plainForm(call.Body), call.Secret) {
-		return Answer{}, fail(sesamepitch.KindDenied, errLeak)
+		return Answer{}, fail(sesamepitch.KindInvalid, errLeak)
 	}
 	request, err := http.NewRequestWithContext(ctx, call.Method, target, bytes.NewReader(call.Body))
 	if err != nil {
--- a/src/lease/lease.go
+++ b/src/lease/lease.go
@@ -20,6 +20,8 @@
 	Address string `json:"address"`
 	Epoch   int64  `json:"epoch"`
 	Renewal int64  `json:"renewal"`
+	// Note is what the holder leaves for its successor.
+	Note string `json:"note,omitempty"`
 }
 
 // Settings are the lease's times. A holder counts on the lease for TTL−Margin
@@ -45,6 +47,8 @@
 	version  int64
 	seenAt   time.Time
 	observed bool
+	note     string
+	previous Record
 }
 
 // New returns a lease on key for a holder, whose name must be used by no
@@ -64,6 +68,20 @@
 	return l.record.Epoch, l.until, true
 }
 
+// SetNote sets what the next renewals leave for a successor.
+func (l *Lease) SetNote(note string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.note = note
+}
+
+// Previous returns the record of the holder before this process took the lease.
+func (l *Lease) Previous() Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.previous
+}
+
 // Record returns the row as last seen.
 func (l *Lease) Record() Record {
 	l.mu.Lock()
@@ -91,7 +109,7 @@
 func (l *Lease) Release(ctx context.Context) error {
 	l.mu.Lock()
 	held, version := l.held, l.version
-	next := Record{Epoch: l.record.Epoch}
+	next := Record{Epoch: l.record.Epoch, Note: l.note}
 	l.held = false
 	l.mu.Unlock()
 	if !held {
@@ -117,6 +135,7 @@
 func (l *Lease) renew(ctx context.Context) error {
 	l.mu.Lock()
 	next, version := l.record, l.version
+	next.Note = l.note
 	l.mu.Unlock()
 	next.Renewal++
 	sent := l.clock.Now()
@@ -168,11 +187,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.held = false
-	l.note(record, version)
+	l.remember(record, version)
 }
 
-// note remembers the row and when it last changed; it needs l.mu.
-func (l *Lease) note(record Record, version int64) {
+// remember keeps the row and when it last changed; it needs l.mu.
+func (l *Lease) remember(record Record, version int64) {
 	if !l.observed || version != l.version {
 		l.seenAt = l.clock.Now()
 	}
@@ -189,7 +208,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.note(row, version)
+	l.remember(row, version)
 	return nil
 }
 
@@ -205,7 +224,8 @@
 func (l *Lease) take(ctx context.Context) error {
 	l.mu.Lock()
 	version := l.version
-	next := Record{Holder: l.holder, Address: l.address, Epoch: l.record.Epoch + 1}
+	next := Record{Holder: l.holder, Address: l.address, Epoch: l.record.Epoch + 1, Note: l.record.Note}
+	l.previous = l.record
 	l.mu.Unlock()
 	sent := l.clock.Now()
 	revision, err := l.table.Commit(ctx, l.txn(version, next))
--- a/src/rollout/rollout.go
+++ b/src/rollout/rollout.go
@@ -142,7 +142,7 @@
 			return a.generation, nil
 		}
 		kind := sesamepitch.KindOf(err)
-		ran = ran || kind != sesamepitch.KindUnavailable
+		ran = ran || (kind != sesamepitch.KindUnavailable && kind != sesamepitch.KindInvalid)
 		if !r.mayRetry(ctx, kind, a, number) {
 			return Generation{}, &Error{Op: "rollout.generate", Kind: kind, Ran: ran, Err: err}
 		}
