--- a/cluster_test.go
+++ b/cluster_test.go
@@ -375,6 +375,7 @@
 const (
 	stopSignal     = syscall.SIGSTOP
 	continueSignal = syscall.SIGCONT
+	termSignal     = syscall.SIGTERM
 )
 
 // cutOff cuts a data centre off from the platform and from all others.
--- /dev/null
+++ b/load_test.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/notice"
+	"sesamepitch/src/operator"
+	"sesamepitch/src/standin"
+
+	"gotest.tools/v3/assert"
+)
+
+// leaveBound is the stated bound for a leaving endpoint or a data centre taken out.
+const leaveBound = 3 * time.Second
+
+// pressure sends completions to all daemons until stopped.
+type pressure struct {
+	stop   chan struct{}
+	wg     sync.WaitGroup
+	good   atomic.Int64
+	bad    atomic.Int64
+	mu     sync.Mutex
+	causes map[string]int
+}
+
+func (c *cluster) press(workers, tokens int) *pressure {
+	p := &pressure{stop: make(chan struct{}), causes: map[string]int{}}
+	for i := range workers {
+		p.wg.Add(1)
+		go func() {
+			defer p.wg.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-p.stop:
+					return
+				default:
+				}
+				p.one(c, c.daemons[(i+n)%len(c.daemons)], i, n, tokens)
+			}
+		}()
+	}
+	return p
+}
+
+// one sends one request, as the balancer would: to a daemon that is ready.
+func (p *pressure) one(c *cluster, d *daemonProcess, worker, number, tokens int) {
+	if get(d.callers, "/readyz") != http.StatusOK {
+		time.Sleep(20 * time.Millisecond)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
+	defer cancel()
+	got := send(ctx, http.MethodPost, d.callers, "/v1/completions", c.key("other"), completion(tokens, false, fmt.Sprintf("worker %d request %d", worker, number)))
+	if got.status == http.StatusOK && got.err == nil {
+		p.good.Add(1)
+		return
+	}
+	p.bad.Add(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.causes[fmt.Sprintf("%s: %d %s %v", d.name, got.status, got.body, got.err)]++
+}
+
+func (p *pressure) end() {
+	close(p.stop)
+	p.wg.Wait()
+}
+
+// TestColdStartIsNotOverloaded is P10: all engines start cold under load, the
+// cells' owners are killed amid the ramp, and warm engines turn cold.
+func TestColdStartIsNotOverloaded(t *testing.T) {
+	t.Parallel()
+	c := newColdCluster(t)
+	p := c.press(40, 5)
+	time.Sleep(600 * time.Millisecond)
+	for _, d := range []int{1, 3} {
+		c.daemons[d].kill()
+	}
+	time.Sleep(3 * time.Second)
+	for _, d := range []int{1, 3} {
+		c.run(c.daemons[d])
+	}
+	time.Sleep(6 * time.Second)
+	for _, name := range []string{"engine-1-1", "engine-2-2"} {
+		c.control(c.address[name], "cool", struct{}{})
+	}
+	time.Sleep(6 * time.Second)
+	p.end()
+	for _, name := range []string{"engine-1-1", "engine-1-2", "engine-2-1", "engine-2-2"} {
+		seen := c.seen(name)
+		assert.Equal(t, seen.ColdOverloads, 0, name)
+		assert.Assert(t, seen.MaxRunning > 2, "%s was never warm: %d", name, seen.MaxRunning)
+		assert.Assert(t, seen.MaxRunning <= 8, "%s beyond its knee: %d", name, seen.MaxRunning)
+	}
+	assert.Assert(t, p.good.Load() > 100, "%d good", p.good.Load())
+}
+
+func newColdCluster(t *testing.T) *cluster {
+	c := standard(t, "--cold-time", "2s", "--cold-limit", "2")
+	document := c.standardDocument()
+	c.apply(strings.ReplaceAll(document, "cold_time: 300ms", "cold_time: 2200ms"))
+	return c
+}
+
+// lastStart is when an engine of a data centre last got new work.
+func (c *cluster) lastStart(names ...string) time.Time {
+	var last time.Time
+	for _, name := range names {
+		if seen := c.seen(name); seen.LastStart.After(last) {
+			last = seen.LastStart
+		}
+	}
+	return last
+}
+
+// TestCentreTakenOut is P11: a data centre is taken out under load through one
+// instance while another is cut off, and taken out and brought back three times
+// in ten seconds.
+func TestCentreTakenOut(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	time.Sleep(6 * time.Second) // The leaders list each other every five seconds.
+	p := c.press(16, 5)
+	time.Sleep(time.Second)
+	// One instance of the data centre to be taken out reaches only its peers.
+	c.net.set(c.daemons[1].ip, c.daemons[1].platform, cutting)
+	started := time.Now()
+	_, err := c.daemons[2].client().SetCentre(context.Background(), operator.CentreState{Name: "dc-1", State: notice.Out})
+	assert.NilError(t, err)
+	time.Sleep(leaveBound + 2*time.Second)
+	last := c.lastStart("engine-1-1", "engine-1-2")
+	assert.Assert(t, last.Sub(started) < leaveBound, "new work %s after", last.Sub(started))
+	assert.Assert(t, time.Since(c.lastStart("engine-2-1", "engine-2-2")) < time.Second, "the other data centre serves")
+	for i := range 6 {
+		state := notice.In
+		if i%2 == 1 {
+			state = notice.Out
+		}
+		_, err := c.daemons[i%4].client().SetCentre(context.Background(), operator.CentreState{Name: "dc-1", State: state})
+		assert.NilError(t, err)
+		started = time.Now()
+		time.Sleep(1200 * time.Millisecond)
+	}
+	time.Sleep(leaveBound)
+	last = c.lastStart("engine-1-1", "engine-1-2")
+	assert.Assert(t, last.Sub(started) < leaveBound, "new work %s after the last word", last.Sub(started))
+	_, err = c.daemons[0].client().SetCentre(context.Background(), operator.CentreState{Name: "dc-1", State: notice.In})
+	assert.NilError(t, err)
+	eventually(t, leaveBound, "it serves again", func() bool { return time.Since(c.lastStart("engine-1-1", "engine-1-2")) < 200*time.Millisecond })
+	p.end()
+	assert.Equal(t, p.bad.Load(), int64(0), "%v", p.causes)
+}
+
+// TestLeavingEndpoint is P15: an endpoint that the platform lists as leaving
+// gets no new work, and what runs there is finished.
+func TestLeavingEndpoint(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	p := c.press(16, 5)
+	time.Sleep(2 * time.Second)
+	started := time.Now()
+	c.control(c.platform, "live", sesamepitch.Liveness{Name: "engine-1-1", Centre: "dc-1", State: sesamepitch.StateLeaving})
+	c.control(c.platform, "live", sesamepitch.Liveness{Name: "engine-2-2", Centre: "dc-2", State: sesamepitch.StateLeaving})
+	time.Sleep(leaveBound + 2*time.Second)
+	last := c.lastStart("engine-1-1", "engine-2-2")
+	assert.Assert(t, last.Sub(started) < leaveBound, "new work %s after", last.Sub(started))
+	c.engines["engine-1-1"].kill()
+	c.engines["engine-2-2"].kill()
+	time.Sleep(time.Second)
+	p.end()
+	assert.Equal(t, p.bad.Load(), int64(0), "%v", p.causes)
+}
+
+// TestGracefulShutdownCutsNothing is P16: a rolling restart of all daemons under
+// streams, steps and queued work, with the platform slow.
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	c.faults(standin.PlatformFaults{SlowMillis: 100})
+	p := c.press(24, 10)
+	ctx, cancel := context.WithTimeout(context.Background(), 80*time.Second)
+	defer cancel()
+	groups := groupsOf(20, 6, 60)
+	type result struct {
+		doubled, samples int
+		err              error
+	}
+	step := make(chan result, 1)
+	go func() {
+		outcome, err := c.trainer().Run(ctx, 1, groups, 1, nil)
+		step <- result{outcome.Doubled(), len(outcome.Samples()), err}
+	}()
+	for _, d := range c.daemons {
+		open := openStream(t, d.callers, c.key("field"), 150)
+		d.signal(termSignal)
+		select {
+		case <-d.ended:
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%s does not end", d.name)
+		}
+		last, ended := open.ended(time.Second)
+		assert.Assert(t, ended)
+		assert.Equal(t, last, "[DONE]", "a stream was cut")
+		c.run(d)
+		eventually(t, 15*time.Second, d.name+" is ready", func() bool { return get(d.callers, "/readyz") == http.StatusOK })
+	}
+	got := <-step
+	p.end()
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.samples, 120)
+	assert.Equal(t, got.doubled, 0)
+	assert.Equal(t, p.bad.Load(), int64(0), "%v", p.causes)
+}
