Outages, leader changes and usage through kills

A daemon that owned the cell itself had told nobody of its records, and others waited 12 s before they counted a gone daemon's. Now every record is told to another daemon before the answer ends, a gone daemon (left the view, refuses connections, another run answers) is sealed at once, and one that lives after all goes on under a new name. Now a daemon without a leader reads the table itself, and is ready only after its first contact.

--- a/cluster_test.go
+++ b/cluster_test.go
@@ -204,6 +204,7 @@
 		"serve", "--instance", name, "--data-centre", centreName, "--callers", d.callers, "--operators", d.operators,
 		"--peers", ip + ":8082", "--peers-listen", ip + ":8083", "--source", ip, "--platform", d.platform,
 		"--drain-delay", "300ms", "--usage-window", "2s", "--usage-settle", "1s",
+		"--seed", c.ip(centre, 1) + ":8082", "--seed", c.ip(centre, 2) + ":8082", "--seed", c.ip(centre, 3) + ":8082",
 	}, extra...)
 	c.daemons = append(c.daemons, d)
 	c.run(d)
--- /dev/null
+++ b/control_test.go
@@ -0,0 +1,326 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/standin"
+
+	"gotest.tools/v3/assert"
+)
+
+// leaderOf returns the daemon that leads a data centre.
+func (c *cluster) leaderOf(centre string) *daemonProcess {
+	var leader *daemonProcess
+	eventually(c.t, 15*time.Second, "a leader of "+centre, func() bool {
+		for _, d := range c.daemons {
+			if d.centre != centre {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			status, err := d.client().Status(ctx)
+			cancel()
+			if err == nil && status.Leader {
+				leader = d
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// loseEndpoints takes endpoints off the platform's list again and again, so
+// that their data centre's leader keeps ordering.
+func (c *cluster) loseEndpoints(stop <-chan struct{}) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(150 * time.Millisecond):
+			}
+			for centre := 1; centre <= 2; centre++ {
+				for host := 1; host <= 2; host++ {
+					name := fmt.Sprintf("engine-%d-%d", centre, host)
+					c.control(c.platform, "live", sesamepitch.Liveness{Name: name})
+				}
+			}
+		}
+	}()
+	return &wg
+}
+
+// TestOneProcessInCharge is P7, P8 and P9: holders are frozen past their leases,
+// answers are lost, and receivers ignore fencing numbers. No order or report
+// of an earlier holder comes after one of its successor; no window is reported
+// with different figures.
+func TestOneProcessInCharge(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	c.faults(standin.PlatformFaults{IgnoreFence: true, LoseAnswers: 0.1})
+	random := rand.New(rand.NewPCG(7, 7))
+	stop := make(chan struct{})
+	losing := c.loseEndpoints(stop)
+	p := c.press(6, 4)
+	for range 4 {
+		time.Sleep(time.Duration(3500+random.IntN(2000)) * time.Millisecond)
+		var frozen []*daemonProcess
+		for _, centre := range []string{"dc-1", "dc-2"} {
+			leader := c.leaderOf(centre)
+			leader.signal(stopSignal)
+			frozen = append(frozen, leader)
+		}
+		time.Sleep(time.Duration(4500+random.IntN(3000)) * time.Millisecond)
+		for _, d := range frozen {
+			d.signal(continueSignal)
+		}
+	}
+	time.Sleep(4 * time.Second)
+	p.end()
+	close(stop)
+	losing.Wait()
+	journal := c.journal()
+	holders := assertHandovers(t, journal.Orders, func(o standin.ReceivedOrder) (string, string, int64) { return o.Centre, o.Holder, o.Fence })
+	assert.Assert(t, holders >= 4, "too few handovers of orders for the test: %d", holders)
+	reporters := assertHandovers(t, journal.Reports, func(r standin.ReceivedReport) (string, string, int64) { return "usage", r.Holder, r.Fence })
+	t.Logf("%d orders by %d holders, %d reports by %d", len(journal.Orders), holders, len(journal.Reports), reporters)
+	assertSameFigures(t, journal.Reports)
+}
+
+// assertHandovers asserts, for each role, that holders follow each other with
+// growing fencing numbers and never come back, and counts them.
+func assertHandovers[T any](t *testing.T, received []T, describe func(T) (role, holder string, fence int64)) int {
+	t.Helper()
+	last := map[string]int64{}
+	holders := map[string]string{}
+	for i, item := range received {
+		role, holder, fence := describe(item)
+		assert.Assert(t, fence >= last[role], "%d: %s by %s with fence %d after %d", i, role, holder, fence, last[role])
+		key := fmt.Sprint(role, fence)
+		if known, found := holders[key]; found {
+			assert.Equal(t, known, holder, "two holders with one fence")
+		}
+		holders[key] = holder
+		last[role] = fence
+	}
+	return len(holders)
+}
+
+func assertSameFigures(t *testing.T, reports []standin.ReceivedReport) {
+	t.Helper()
+	figures := map[string][]sesamepitch.UsageFigure{}
+	for _, report := range reports {
+		if before, found := figures[report.ID]; found {
+			assert.DeepEqual(t, report.Figures, before)
+		}
+		figures[report.ID] = report.Figures
+	}
+}
+
+// TestUsageSurvivesKills is P8: daemons are killed under load; what was
+// delivered whole is reported, and nothing twice.
+func TestUsageSurvivesKills(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	const tokens = 5
+	p := c.press(12, tokens)
+	for round := range 4 {
+		time.Sleep(2 * time.Second)
+		victim := c.daemons[round]
+		victim.kill()
+		time.Sleep(time.Second)
+		c.run(victim)
+	}
+	time.Sleep(2 * time.Second)
+	p.end()
+	good, bad := p.good.Load()*tokens, p.bad.Load()*tokens
+	time.Sleep(25 * time.Second)
+	reported := c.reportedTokens("other")
+	t.Logf("delivered %d tokens, failed requests up to %d, reported %d", good, bad, reported)
+	assert.Assert(t, reported >= good, "reported %d of %d", reported, good)
+	assert.Assert(t, reported <= good+bad, "reported %d, delivered %d and at most %d more", reported, good, bad)
+	assertSameFigures(t, c.journal().Reports)
+}
+
+// TestConfigurationInForce is P17: a document is in force on every reachable
+// instance within the bound, also with a leader killed or an instance frozen,
+// and no instance goes back through restarts, cuts and heals.
+func TestConfigurationInForce(t *testing.T) {
+	t.Parallel()
+	const bound = 4 * time.Second
+	c := standard(t)
+	var newest atomic.Int64
+	newest.Store(1)
+	stop := make(chan struct{})
+	var watching sync.WaitGroup
+	for _, d := range c.daemons {
+		watching.Add(1)
+		go func() {
+			defer watching.Done()
+			c.watchVersions(d, &newest, stop)
+		}()
+	}
+	change := func(version int, through *daemonProcess) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+		defer cancel()
+		document := strings.Replace(c.standardDocument(), "weight: 1", fmt.Sprintf("weight: %d", version), 1)
+		next, err := through.client().Apply(ctx, []byte(document), int64(version-1), "test")
+		assert.NilError(t, err)
+		assert.Equal(t, next.Version, int64(version))
+	}
+	inForce := func(version int64, limit time.Duration, daemons ...*daemonProcess) {
+		t.Helper()
+		started := time.Now()
+		for _, d := range daemons {
+			eventually(t, limit-time.Since(started), fmt.Sprintf("%s has version %d", d.name, version), func() bool { return c.versionOf(d) >= version })
+		}
+		newest.Store(version)
+	}
+	change(2, c.daemons[3])
+	inForce(2, bound, c.daemons...)
+	// A frozen instance does not hold the others up, and follows when it wakes.
+	c.daemons[1].signal(stopSignal)
+	change(3, c.daemons[0])
+	inForce(3, bound, c.daemons[0], c.daemons[2], c.daemons[3])
+	c.daemons[1].signal(continueSignal)
+	inForce(3, bound, c.daemons...)
+	// A leader dies right after the change.
+	leader := c.leaderOf("dc-2")
+	change(4, c.daemons[0])
+	leader.kill()
+	inForce(4, bound+4*time.Second, others(c.daemons, leader)...)
+	c.run(leader)
+	inForce(4, bound+4*time.Second, c.daemons...)
+	// A data centre is cut off, changes are made outside, and the cut heals;
+	// an instance inside restarts meanwhile with the list stale.
+	c.cutOff(2)
+	c.faults(standin.PlatformFaults{StaleList: true})
+	change(5, c.daemons[0])
+	inForce(4, bound, c.daemons...)
+	c.daemons[2].kill()
+	c.run(c.daemons[2])
+	time.Sleep(8 * time.Second)
+	c.net.heal()
+	inForce(5, bound+4*time.Second, c.daemons...)
+	close(stop)
+	watching.Wait()
+}
+
+func others(all []*daemonProcess, but *daemonProcess) []*daemonProcess {
+	var list []*daemonProcess
+	for _, d := range all {
+		if d != but {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// versionOf returns the version in force at a daemon that is ready, else zero.
+func (c *cluster) versionOf(d *daemonProcess) int64 {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	versioned, err := d.client().Document(ctx)
+	if err != nil {
+		return 0
+	}
+	return versioned.Version
+}
+
+// watchVersions asserts that a daemon never goes back, also through restarts.
+func (c *cluster) watchVersions(d *daemonProcess, newest *atomic.Int64, stop <-chan struct{}) {
+	last := int64(0)
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		version := c.versionOf(d)
+		if version == 0 {
+			continue
+		}
+		if version < last {
+			c.t.Errorf("%s went back from %d to %d", d.name, last, version)
+		}
+		last = version
+	}
+}
+
+// TestOperatorsRace is P17: of two operators who change the same item one is
+// refused; changes of different items both hold.
+func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	base := c.standardDocument()
+	variants := []string{
+		strings.Replace(base, "max_lag: 1", "max_lag: 2", 1),
+		strings.Replace(base, "region: south", "region: north", 1),
+		strings.Replace(base, "step_time: 60s", "step_time: 61s", 1),
+	}
+	errs := make([]error, len(variants))
+	var wg sync.WaitGroup
+	for i, variant := range variants {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, errs[i] = c.daemons[i].client().Apply(ctx, []byte(variant), 1, fmt.Sprint("team-", i))
+		}()
+	}
+	wg.Wait()
+	assert.NilError(t, errs[1], "another section is no conflict")
+	refused := 0
+	for _, i := range []int{0, 2} {
+		if sesamepitch.KindOf(errs[i]) == sesamepitch.KindConflict {
+			refused++
+		} else {
+			assert.NilError(t, errs[i])
+		}
+	}
+	assert.Equal(t, refused, 1, "the trainer was changed twice: %v", errs)
+	versioned, err := c.daemons[0].client().Document(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, versioned.Version, int64(3))
+	assert.Equal(t, versioned.Document.DataCentres[0].Region, "north")
+	bad := strings.Replace(base, "workspace: coaching, model", "workspace: nobody, model", 1)
+	_, err = c.daemons[0].client().Apply(ctx, []byte(bad), 3, "test")
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindInvalid)
+	assert.Assert(t, strings.Contains(err.Error(), `line 10: trainers painter: workspace "nobody" is not in section workspaces`), err.Error())
+}
+
+// TestServesWhilePlatformIsDown: with the platform down a data centre goes on
+// serving, also when its leader dies and a new instance comes.
+func TestServesWhilePlatformIsDown(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	c.faults(standin.PlatformFaults{Hang: true})
+	time.Sleep(2 * time.Second)
+	leader := c.leaderOf("dc-1")
+	other := others(c.daemons[:2], leader)[0]
+	assert.Equal(t, complete(other.callers, c.key("field"), 4).status, http.StatusOK)
+	leader.kill()
+	eventually(t, 20*time.Second, "the rest serves", func() bool { return complete(other.callers, c.key("field"), 4).status == http.StatusOK })
+	c.run(leader)
+	eventually(t, 20*time.Second, "the new instance serves", func() bool { return complete(leader.callers, c.key("field"), 4).status == http.StatusOK })
+	c.faults(standin.PlatformFaults{})
+	time.Sleep(6 * time.Second)
+	for _, d := range c.daemons {
+		assert.Equal(t, complete(d.callers, c.key("field"), 4).status, http.StatusOK, d.name)
+	}
+	assert.Assert(t, c.leaderOf("dc-1") != nil)
+}
--- a/src/centre/beat.go
+++ b/src/centre/beat.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sort"
+	"syscall"
 	"time"
 
 	sesamepitch "sesamepitch/src"
@@ -66,7 +68,10 @@
 func (n *Node) beatArgs(leaving bool) BeatArgs {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	args := BeatArgs{Member: n.settings.Self, Leaving: leaving, Epoch: n.epoch, Config: n.holder.Current().Version(), Read: n.read, Warm: n.warm}
+	args := BeatArgs{Member: n.settings.Self, Leaving: leaving, Epoch: n.epoch, Config: n.holder.Current().Version(), Read: n.read, Warm: n.warm, Age: -1}
+	if !n.freshAt.IsZero() {
+		args.Age = n.clock.Now().Sub(n.freshAt)
+	}
 	if n.view != nil && n.view.Epoch == n.epoch {
 		args.View = n.view.Version
 	}
@@ -122,6 +127,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.misses++
+	if reply.Epoch.Newer(n.latest) {
+		n.latest = reply.Epoch
+	}
+	if reply.Leader.Address != "" && reply.HeardAge < n.settings.CellLease+n.settings.Lease.Margin {
+		n.peerHeard = true
+	}
 	if reply.Leader.Address != "" && !n.epoch.Newer(reply.Epoch) && reply.Leader.ID != n.settings.Self.ID {
 		n.leader = reply.Leader
 	}
@@ -140,6 +151,7 @@
 	}
 	n.misses = 0
 	n.epoch = reply.Epoch
+	n.latest = reply.Epoch
 	n.leader = reply.Leader
 	n.lastBeat = n.clock.Now()
 	n.attemptAt = n.lastBeat
@@ -153,7 +165,7 @@
 		}
 	}
 	if reply.View != nil && reply.View.Newer(n.view) {
-		n.view = reply.View
+		n.setView(reply.View)
 	}
 	if reply.Age >= 0 {
 		n.freshenLocked(sent.Add(-reply.Age))
@@ -210,13 +222,30 @@
 		return
 	}
 	if record.Address == "" || record.Address == n.settings.Self.Address {
+		_ = n.catchUp(ctx)
 		return
 	}
 	n.mu.Lock()
 	n.misses = 0
 	n.leader = Member{Address: record.Address}
 	n.mu.Unlock()
-	n.beat(ctx, record.Address)
+	if !n.beat(ctx, record.Address) {
+		_ = n.catchUp(ctx)
+	}
+}
+
+// catchUp reads all that is new in the table. A daemon without a leader to hear
+// from does so itself.
+func (n *Node) catchUp(ctx context.Context) error {
+	started := n.clock.Now()
+	err := n.pullAll(ctx)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.attemptAt = n.clock.Now()
+	if err == nil {
+		n.freshenLocked(started)
+	}
+	return err
 }
 
 // candidates are the daemons that may lead while the table is out of reach, in
@@ -243,19 +272,17 @@
 	return members
 }
 
-// searchPeers asks each peer in order; the first in the order that cannot
-// reach anybody before it takes care of the data centre, after the last
-// leader's grants have lapsed.
+// searchPeers asks every peer whether it leads or knows who does. If none does,
+// the first in the order that can be reached takes care of the data centre,
+// after the last leader's grants have lapsed.
 func (n *Node) searchPeers(ctx context.Context) {
-	first := true
-	rank := 0
+	n.mu.Lock()
+	n.peerHeard = false
+	n.mu.Unlock()
+	first, rank := true, 0
 	for i, candidate := range n.candidates() {
 		if candidate.Address == n.settings.Self.Address {
 			rank = i + 1
-			if first && n.grantsLapsed() {
-				n.takeCare(ctx, rank)
-				return
-			}
 			continue
 		}
 		if n.beat(ctx, candidate.Address) {
@@ -266,18 +293,40 @@
 		}
 	}
 	n.mu.Lock()
-	leader := n.leader
+	leader, peerHeard := n.leader, n.peerHeard
 	n.misses = 0
 	n.mu.Unlock()
-	if leader.Address != "" && leader.Address != n.settings.Self.Address {
-		n.beat(ctx, leader.Address)
+	if leader.Address != "" && leader.Address != n.settings.Self.Address && n.beat(ctx, leader.Address) {
+		return
+	}
+	if first && !peerHeard && n.grantsLapsed() {
+		n.takeCare(ctx, rank)
 	}
 }
 
 func (n *Node) reaches(ctx context.Context, address string) bool {
 	calling, cancel := context.WithTimeout(ctx, n.callTime())
 	defer cancel()
-	return n.dialer.Call(calling, address, "Centre.Ping", NudgeArgs{}, &NudgeReply{}) == nil
+	return n.dialer.Call(calling, address, "Centre.Ping", PingArgs{}, &PingReply{}) == nil
+}
+
+// HasEnded tells whether a run of a daemon is known to have ended: it left the
+// view, its port refuses connections, or another run answers there.
+func (n *Node) HasEnded(ctx context.Context, address, incarnation string) bool {
+	n.mu.Lock()
+	left := n.left[Member{Address: address, Incarnation: incarnation}]
+	n.mu.Unlock()
+	if left {
+		return true
+	}
+	calling, cancel := context.WithTimeout(ctx, n.callTime())
+	defer cancel()
+	var reply PingReply
+	err := n.dialer.Call(calling, address, "Centre.Ping", PingArgs{}, &reply)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return reply.Member.Incarnation != incarnation
 }
 
 // grantsLapsed tells whether every grant of the last leader has lapsed.
@@ -289,7 +338,7 @@
 
 func (n *Node) takeCare(ctx context.Context, rank int) {
 	n.mu.Lock()
-	epoch := Epoch{Table: n.epoch.Table, Rank: n.epoch.Rank + rank}
+	epoch := Epoch{Table: n.latest.Table, Rank: n.latest.Rank + rank}
 	n.mu.Unlock()
 	n.log.Info("caretaker leads", "centre", n.settings.Centre, "reason", "table and leader out of reach", "rank", epoch.Rank)
 	n.becomeLeader(epoch, caretaker)
--- a/src/centre/leader.go
+++ b/src/centre/leader.go
@@ -65,7 +65,7 @@
 	held := n.ownedLocked()
 	till := n.cellsTill
 	n.role = as
-	n.epoch = epoch
+	n.epoch, n.latest = epoch, epoch
 	n.leader = n.settings.Self
 	n.lead = &leadership{epoch: epoch, since: now, members: map[string]*memberState{}, cells: map[CellID]*tenure{}, stale: map[string]int64{}, earlier: n.earlierMembers()}
 	if n.view != nil {
@@ -256,7 +256,11 @@
 	if n.lead.epoch == (Epoch{Table: 1}) || age > n.settings.CellLease+n.settings.Lease.Margin {
 		return true
 	}
-	return n.role == elected && len(n.lead.earlier) == 0 && age > reportBeats*n.settings.Beat+n.callTime()
+	if age <= reportBeats*n.settings.Beat+n.callTime() {
+		return false
+	}
+	// A caretaker has waited until the grants of the leader before had lapsed.
+	return n.role == caretaker || len(n.lead.earlier) == 0
 }
 
 // assign moves each cell towards its owner by rendezvous hash. A cell whose
@@ -329,7 +333,7 @@
 	}
 	n.lead.version++
 	next.Version = n.lead.version
-	n.view = next
+	n.setView(next)
 	n.nudgeMembers()
 }
 
@@ -382,7 +386,7 @@
 	if _, _, held := n.lease.Held(); held {
 		return false
 	}
-	if n.role == caretaker && now.Sub(n.lead.since) < n.settings.CellLease {
+	if n.role == caretaker && len(n.lead.earlier) > 0 {
 		return true
 	}
 	for _, state := range n.lead.members {
@@ -412,7 +416,10 @@
 func (n *Node) hear(args BeatArgs, reply *BeatReply) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	reply.Leader, reply.Epoch = n.leader, n.epoch
+	reply.Leader, reply.Epoch, reply.HeardAge = n.leader, n.epoch, n.clock.Now().Sub(n.lastBeat)
+	if args.Epoch.Newer(n.latest) {
+		n.latest = args.Epoch
+	}
 	if n.role == follower || n.lead == nil {
 		return false
 	}
@@ -500,6 +507,7 @@
 	}
 	reply.Accepted = true
 	n.notices.Add(args.Member.Address, args.Notices...)
+	n.learnFrom(args)
 	reply.Notices, reply.Read = n.noticesFor(args.Read, args.Member.Address)
 	reply.Config = n.holder.Current().Version()
 	if args.Config < reply.Config {
@@ -508,6 +516,32 @@
 	return nil
 }
 
+// learnFrom takes over what a member knows and this leader does not, as after
+// the leader's own restart while the table is out of reach.
+func (n *Node) learnFrom(args BeatArgs) {
+	if args.Config > n.holder.Current().Version() {
+		n.takeDocument(args.Member.Address)
+	}
+	if args.Age < 0 || args.Config > n.holder.Current().Version() {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.freshenLocked(n.clock.Now().Add(-args.Age - n.callTime()))
+}
+
+// takeDocument takes the document over from a member that has a newer one, as
+// after the leader's own restart while the table is out of reach.
+func (n *Node) takeDocument(address string) {
+	calling, cancel := context.WithTimeout(context.Background(), n.callTime())
+	defer cancel()
+	var whole DocumentReply
+	if err := n.dialer.Call(calling, address, "Centre.Document", DocumentArgs{}, &whole); err != nil {
+		return
+	}
+	n.advance(document.NewConfig(whole.Version, whole.Document), nil)
+}
+
 // Document answers with the whole document.
 func (s *Service) Document(_ DocumentArgs, reply *DocumentReply) error {
 	current := s.node.holder.Current()
@@ -535,8 +569,11 @@
 	return nil
 }
 
-// Ping answers, to show that this daemon can be reached.
-func (s *Service) Ping(NudgeArgs, *NudgeReply) error { return nil }
+// Ping says who answers here.
+func (s *Service) Ping(_ PingArgs, reply *PingReply) error {
+	reply.Member = s.node.settings.Self
+	return nil
+}
 
 // document whole for other data centres' leaders.
 func (n *Node) wholeDocument() *document.Document {
--- a/src/centre/node.go
+++ b/src/centre/node.go
@@ -49,10 +49,12 @@
 	syncNow  chan struct{}
 	lastView chan struct{}
 
-	mu        sync.Mutex
-	view      *View
-	leader    Member
-	epoch     Epoch
+	mu     sync.Mutex
+	view   *View
+	leader Member
+	epoch  Epoch
+	// latest is the newest epoch that any daemon has told of.
+	latest    Epoch
 	role      role
 	interval  time.Duration
 	misses    int
@@ -70,6 +72,10 @@
 	exchanged map[string]*exchangeState
 	listed    map[string]string
 	warm      []string
+	// peerHeard is set in a search if a peer still hears its leader.
+	peerHeard bool
+	// left are former members of the view, by address and incarnation.
+	left map[Member]bool
 
 	syncedBatches atomic.Int64
 }
@@ -85,6 +91,7 @@
 
 const (
 	keptRecent   = 64
+	maxLeft      = 4096
 	viewWatchers = 1
 )
 
@@ -93,13 +100,13 @@
 	return &Node{
 		settings: settings, clock: clock, log: log, platform: platform, dialer: dialer,
 		holder: holder, notices: notices,
-		journal:   notice.NewLog(platform, notices),
-		store:     document.NewStore(platform),
-		lease:     lease.New(clock, platform, leaderKey(settings.Centre), settings.Self.ID+"@"+settings.Self.Incarnation, settings.Self.Address, settings.Lease),
-		nudge:     make(chan struct{}, 1),
-		syncNow:   make(chan struct{}, 1),
-		lastView:  make(chan struct{}, viewWatchers),
-		interval:  settings.Beat,
+		journal:  notice.NewLog(platform, notices),
+		store:    document.NewStore(platform),
+		lease:    lease.New(clock, platform, leaderKey(settings.Centre), settings.Self.ID+"@"+settings.Self.Incarnation, settings.Self.Address, settings.Lease),
+		nudge:    make(chan struct{}, 1),
+		syncNow:  make(chan struct{}, 1),
+		lastView: make(chan struct{}, viewWatchers),
+		interval: settings.Beat, lastBeat: clock.Now(), left: map[Member]bool{},
 		stale:     map[string]int64{},
 		exchanged: map[string]*exchangeState{},
 	}
@@ -137,6 +144,22 @@
 	return n.view
 }
 
+// setView replaces the view and remembers who left it; it needs n.mu.
+func (n *Node) setView(next *View) {
+	if n.view != nil {
+		for _, member := range n.view.Members {
+			n.left[Member{Address: member.Address, Incarnation: member.Incarnation}] = true
+		}
+	}
+	for _, member := range next.Members {
+		delete(n.left, Member{Address: member.Address, Incarnation: member.Incarnation})
+	}
+	if len(n.left) > maxLeft {
+		n.left = map[Member]bool{}
+	}
+	n.view = next
+}
+
 // Lease returns the leader's lease, under which orders are given.
 func (n *Node) Lease() *lease.Lease { return n.lease }
 
--- a/src/centre/sync.go
+++ b/src/centre/sync.go
@@ -50,15 +50,7 @@
 	if err := n.lease.Step(ctx); err == nil {
 		n.checkLead()
 	}
-	started := n.clock.Now()
-	err := n.pullAll(ctx)
-	n.mu.Lock()
-	n.attemptAt = n.clock.Now()
-	if err == nil {
-		n.freshenLocked(started)
-	}
-	n.mu.Unlock()
-	if err != nil {
+	if err := n.catchUp(ctx); err != nil {
 		n.log.Info("platform out of reach", "centre", n.settings.Centre, "kind", sesamepitch.KindOf(err), "cause", err.Error())
 		return
 	}
--- a/src/centre/view.go
+++ b/src/centre/view.go
@@ -113,15 +113,18 @@
 
 // BeatArgs is a member's heartbeat to its leader.
 type BeatArgs struct {
-	Member   Member
-	Leaving  bool
-	Epoch    Epoch
-	View     int64
-	Config   int64
-	Read     NoticeState
-	Notices  []notice.Notice
-	Cells    []CellID
-	Warm     []string
+	Member  Member
+	Leaving bool
+	Epoch   Epoch
+	View    int64
+	Config  int64
+	Read    NoticeState
+	Notices []notice.Notice
+	Cells   []CellID
+	Warm    []string
+	// Age is the time since this member knew all that the table held; negative
+	// if it never did.
+	Age      time.Duration
 	Reversed []StaleEndpoint
 }
 
@@ -139,6 +142,8 @@
 	Leader   Member
 	Epoch    Epoch
 	View     *View
+	// HeardAge is how long ago a daemon that does not lead heard its leader.
+	HeardAge time.Duration
 	// Config is the leader's version; Deltas lead to it unless there is a gap.
 	Config  int64
 	Deltas  []document.Delta
@@ -193,3 +198,9 @@
 
 // NudgeReply is empty.
 type NudgeReply struct{}
+
+// PingArgs asks a daemon who it is.
+type PingArgs struct{}
+
+// PingReply says who answers.
+type PingReply struct{ Member Member }
--- a/src/daemon/daemon.go
+++ b/src/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"strings"
 	"time"
 
 	sesamepitch "sesamepitch/src"
@@ -130,10 +131,10 @@
 	d.node = centre.New(centre.Settings{Centre: s.Centre, Self: self, Seeds: s.Seeds, Beat: s.Beat, Lease: times, CellLease: s.CellLease},
 		d.clock, d.log, services, d.dialer, holder, notices)
 	d.meter = usage.NewMeter(d.clock, d.log, services, run, s.UsageWindow)
-	d.shadow = usage.NewShadow(d.clock, d.log, services, run, s.UsageWindow)
+	d.shadow = usage.NewShadow(d.clock, d.log, services, run, s.UsageWindow, d.isGone)
 	d.owner = pool.NewOwner(d.clock, d.log, d.node, s.Centre, holder, notices, engines,
 		pool.WithAdoption(adoptionBeats*s.Beat+adoptionSlack), pool.WithShadow(d.shadow))
-	d.streams = pool.NewClient(d.clock, d.log, d.node, d.dialer, notices, d.owner, d.meter.Safe)
+	d.streams = pool.NewClient(d.clock, d.log, d.node, d.dialer, notices, d.owner, d.meter.Books)
 	runner := rollout.New(d.clock, d.log, d.streams, engines, notices, prices{holder: holder}, d.meter)
 	d.reporting = usage.NewLease(d.clock, services, run, self.Address, times)
 	reports := platform.New(s.Platform, platform.WithTransport(lease.Guard(d.reporting, s.Source)))
@@ -157,6 +158,13 @@
 	return errors.Join(d.node.Register(d.rpc), d.owner.Register(d.rpc))
 }
 
+// isGone tells whether the run of a daemon is known to have ended.
+func (d *Daemon) isGone(ctx context.Context, run string) bool {
+	run, _, _ = strings.Cut(run, "#")
+	address, incarnation, _ := strings.Cut(run, "@")
+	return d.node.HasEnded(ctx, address, incarnation)
+}
+
 // tree is the supervisor tree: every goroutine that lives as long as the daemon.
 func (d *Daemon) tree() *supervisor.Tree {
 	var workers []supervisor.Worker
--- a/src/entry/admission.go
+++ b/src/entry/admission.go
@@ -160,6 +160,13 @@
 	}
 }
 
+// HadContact tells whether this process has ever known all that the platform's
+// table held.
+func (a *Admission) HadContact() bool {
+	fresh, _ := a.contact.Contact()
+	return !fresh.IsZero()
+}
+
 // Watch returns a context that ends when the caller's key stops working; done
 // must be called at the request's end.
 func (a *Admission) Watch(ctx context.Context, caller Caller) (watched context.Context, done func()) {
--- a/src/entry/server.go
+++ b/src/entry/server.go
@@ -102,7 +102,7 @@
 	switch {
 	case s.draining.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
-	case s.Holder.Current().Version() == 0:
+	case s.Holder.Current().Version() == 0 || !s.Admission.HadContact():
 		http.Error(w, "no configuration", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ready\n"))
--- a/src/entry/service.go
+++ b/src/entry/service.go
@@ -254,7 +254,7 @@
 	switch sesamepitch.KindOf(err) {
 	case "":
 		release.Billed = true
-		release.Record = s.Recorder.Record(in.workspace.Name, 0, 0)
+		release.Receipt = s.Recorder.Record(in.workspace.Name, 0, 0)
 	case sesamepitch.KindUnavailable:
 		release.Outcome = pool.Refused
 	case sesamepitch.KindDenied, sesamepitch.KindInvalid:
--- a/src/operator/server.go
+++ b/src/operator/server.go
@@ -30,6 +30,8 @@
 	confirmPoll = 100 * time.Millisecond
 	// confirmTime is how long a change waits for its confirmations.
 	confirmTime = 4 * time.Second
+	// statusTime bounds the platform's part of a status.
+	statusTime = 600 * time.Millisecond
 	// staleStatus is how old a data centre's status may be before its daemons
 	// count as not heard of.
 	staleStatus = 25 * time.Second
@@ -386,7 +388,9 @@
 		}
 	}
 	var err error
-	if status.DataCentres, err = s.statuses(r.Context()); err != nil {
+	reading, cancel := context.WithTimeout(r.Context(), statusTime)
+	defer cancel()
+	if status.DataCentres, err = s.statuses(reading); err != nil {
 		status.Platform = err.Error()
 	}
 	writeJSON(w, http.StatusOK, status)
--- a/src/orders/orders.go
+++ b/src/orders/orders.go
@@ -69,6 +69,8 @@
 	engines  map[string]*engineState
 	missing  map[string]time.Time
 	ordering map[string]bool
+	// listedAt is when the live list last had an endpoint.
+	listedAt map[string]time.Time
 }
 
 // New returns the manager at one daemon. The orders service and the guarded
@@ -78,7 +80,7 @@
 	return &Manager{
 		clock: clock, log: log, leader: leader, table: table, orders: orders, holder: holder, notices: notices,
 		loads: loads, guarded: guarded, name: name,
-		engines: map[string]*engineState{}, missing: map[string]time.Time{}, ordering: map[string]bool{},
+		engines: map[string]*engineState{}, missing: map[string]time.Time{}, ordering: map[string]bool{}, listedAt: map[string]time.Time{},
 	}
 }
 
@@ -234,12 +236,16 @@
 	_, present := listed[e.Name]
 	if listed == nil || present || m.notices.IsOut(m.leader.Centre()) {
 		delete(m.missing, e.Name)
+		if present {
+			m.listedAt[e.Name] = now
+		}
 		m.mu.Unlock()
 		return
 	}
 	if _, noted := m.missing[e.Name]; !noted {
 		m.missing[e.Name] = now
 	}
+	listedAt := m.listedAt[e.Name]
 	ready := now.Sub(m.missing[e.Name]) >= missingFor && !m.ordering[e.Name]
 	if ready {
 		m.ordering[e.Name] = true
@@ -249,21 +255,23 @@
 		return
 	}
 	go func() {
-		m.start(ctx, e, epoch, until)
+		m.start(ctx, e, epoch, until, listedAt)
 		m.mu.Lock()
 		delete(m.ordering, e.Name)
 		m.mu.Unlock()
 	}()
 }
 
-func (m *Manager) start(ctx context.Context, e document.Endpoint, epoch int64, until time.Time) {
+// start orders one endpoint, unless an order since it was last listed is still
+// young.
+func (m *Manager) start(ctx context.Context, e document.Endpoint, epoch int64, until, listedAt time.Time) {
 	key := "order/" + m.leader.Centre() + "/" + e.Name
 	var row intent
 	version, err := platform.Read(ctx, m.table, key, &row)
 	if err != nil {
 		return
 	}
-	if version != 0 && row.Phase == phaseDone && m.clock.Now().Sub(row.At) < reorderAfter {
+	if version != 0 && row.Phase == phaseDone && row.At.After(listedAt) && m.clock.Now().Sub(row.At) < reorderAfter {
 		return
 	}
 	if version != 0 && row.Phase == phaseIntended {
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -27,6 +27,8 @@
 	remoteCache = 2 * time.Second
 	renewEvery  = time.Second
 	releaseTime = 1500 * time.Millisecond
+	keepTime    = 500 * time.Millisecond
+	maxKeepers  = 3
 )
 
 // Directory tells a client which daemons own which cells.
@@ -89,7 +91,7 @@
 	dialer   *peer.Dialer
 	notices  *notice.Set
 	local    *Owner
-	flushed  func() int64
+	books    func() Books
 	mu       sync.Mutex
 	streams  map[string]*Stream
 	remote   map[string]remoteCells
@@ -102,11 +104,11 @@
 	cells []centre.Cell
 }
 
-// NewClient returns a client; local is this daemon's own owner, flushed tells
-// the last usage record that is safe.
-func NewClient(clock sesamepitch.Clock, log logr.Logger, dir Directory, dialer *peer.Dialer, notices *notice.Set, local *Owner, flushed func() int64) *Client {
+// NewClient returns a client; local is this daemon's own owner, books tells how
+// far this daemon's usage is safe.
+func NewClient(clock sesamepitch.Clock, log logr.Logger, dir Directory, dialer *peer.Dialer, notices *notice.Set, local *Owner, books func() Books) *Client {
 	return &Client{
-		clock: clock, log: log, dir: dir, dialer: dialer, notices: notices, local: local, flushed: flushed,
+		clock: clock, log: log, dir: dir, dialer: dialer, notices: notices, local: local, books: books,
 		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, free: map[centre.CellID]int{},
 	}
 }
@@ -296,17 +298,59 @@
 	c.mu.Unlock()
 	r.ID, r.Entry, r.Run, r.Cell = s.id, self.Address, self.Incarnation, s.cell
 	r.Endpoint, r.Workspace, r.Fingerprint = s.endpoint, s.ask.Workspace, s.ask.Fingerprint
-	c.send(s.owner, r)
+	r.Books = c.books()
+	if !c.send(s.owner, r) && r.Billed {
+		c.keepElsewhere(r)
+	}
 }
 
-func (c *Client) send(owner string, r Release) {
+// send tells the owner of a stream's end. It returns false if no other daemon
+// knows of it then.
+func (c *Client) send(owner string, r Release) bool {
 	if owner == c.dir.Self().Address {
 		c.local.Release(r)
-		return
+		return false
 	}
 	calling, cancel := context.WithTimeout(context.Background(), releaseTime)
 	defer cancel()
-	_ = c.dialer.Call(calling, owner, "Pool.Release", r, &ReleaseReply{})
+	return c.dialer.Call(calling, owner, "Pool.Release", r, &ReleaseReply{}) == nil
+}
+
+// keepElsewhere tells another daemon of a use of the service, so that it is
+// counted also if this one dies before it has flushed.
+func (c *Client) keepElsewhere(r Release) {
+	for _, address := range c.keepers() {
+		calling, cancel := context.WithTimeout(context.Background(), keepTime)
+		err := c.dialer.Call(calling, address, "Pool.Keep", r, &ReleaseReply{})
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
+
+// keepers lists the daemons to tell: the next ones of the own data centre, then
+// another data centre's leader.
+func (c *Client) keepers() []string {
+	view := c.dir.View()
+	if view == nil {
+		return nil
+	}
+	self := c.dir.Self()
+	var before, after []string
+	for _, member := range view.Members {
+		switch {
+		case member.ID > self.ID:
+			after = append(after, member.Address)
+		case member.ID < self.ID:
+			before = append(before, member.Address)
+		}
+	}
+	list := append(after, before...)
+	for _, remote := range view.Remotes {
+		list = append(list, remote.Address)
+	}
+	return list[:min(len(list), maxKeepers)]
 }
 
 // renew keeps the streams granted. Where a cell has a new owner, that one is
@@ -368,7 +412,7 @@
 
 func (c *Client) renewCell(ctx context.Context, owner string, id centre.CellID, held []Held) {
 	self := c.dir.Self()
-	renewal := Renewal{Entry: self.Address, Run: self.Incarnation, Cell: id, Held: held, Flushed: c.flushed()}
+	renewal := Renewal{Entry: self.Address, Run: self.Incarnation, Cell: id, Held: held, Books: c.books()}
 	var reply RenewalReply
 	if owner == self.Address {
 		reply = c.local.Renew(renewal)
--- a/src/pool/owner.go
+++ b/src/pool/owner.go
@@ -47,8 +47,8 @@
 type Shadow interface {
 	// Keep remembers a use of the service that an entry reported.
 	Keep(r Release)
-	// Flushed forgets the records that the entry has brought into the table.
-	Flushed(entry, run string, record int64)
+	// Flushed forgets the records that are safe in the table.
+	Flushed(books Books)
 }
 
 // Owner grants the streams of the cells that this daemon owns.
@@ -305,7 +305,7 @@
 // Renew keeps an entry's streams; a new owner learns of streams granted before.
 func (o *Owner) Renew(r Renewal) RenewalReply {
 	if o.shadow != nil {
-		o.shadow.Flushed(r.Entry, r.Run, r.Flushed)
+		o.shadow.Flushed(r.Books)
 	}
 	now := o.clock.Now()
 	o.mu.Lock()
@@ -434,6 +434,14 @@
 	return nil
 }
 
+// Keep remembers a use of the service for another daemon.
+func (s *Service) Keep(r Release, _ *ReleaseReply) error {
+	if s.owner.shadow != nil {
+		s.owner.shadow.Keep(r)
+	}
+	return nil
+}
+
 // Renew answers a Renewal.
 func (s *Service) Renew(r Renewal, reply *RenewalReply) error {
 	*reply = s.owner.Renew(r)
--- a/src/pool/wire.go
+++ b/src/pool/wire.go
@@ -94,10 +94,23 @@
 	Workspace   string
 	TokenTime   time.Duration
 	Fingerprint string
-	// Record is the entry's number of this use of the service, Billed whether
-	// it counts as usage.
-	Record int64
-	Billed bool
+	// Billed tells whether it counts as usage, Receipt which record it is.
+	Billed  bool
+	Receipt Receipt
+	// Books are how far the entry's records are safe in the table.
+	Books Books
+}
+
+// Receipt names one record of usage: the run that numbered it and the number.
+type Receipt struct {
+	Run    string
+	Number int64
+}
+
+// Books say up to which record a run's usage is safe in the table.
+type Books struct {
+	Run  string
+	Safe int64
 }
 
 // ReleaseReply is empty.
@@ -118,8 +131,7 @@
 	Run   string
 	Cell  centre.CellID
 	Held  []Held
-	// Flushed is the last usage record that is safe in the table.
-	Flushed int64
+	Books Books
 }
 
 // RenewalReply names streams that must end at once.
--- a/src/rollout/rollout.go
+++ b/src/rollout/rollout.go
@@ -89,8 +89,8 @@
 // Recorder numbers and counts uses of the service before their last part is
 // passed on.
 type Recorder interface {
-	// Record counts one use and returns its number.
-	Record(workspace string, tokens int, milliCost int64) int64
+	// Record counts one use.
+	Record(workspace string, tokens int, milliCost int64) pool.Receipt
 }
 
 // Runner runs generations.
@@ -212,7 +212,7 @@
 	}
 	if billed && (err == nil || a.passedOn) && a.generation.tokens > 0 {
 		release.Billed = true
-		release.Record = r.recorder.Record(stream.Workspace(), a.generation.tokens, a.generation.milliCost)
+		release.Receipt = r.recorder.Record(stream.Workspace(), a.generation.tokens, a.generation.milliCost)
 	}
 	r.client.Release(stream, release)
 }
--- a/src/usage/meter.go
+++ b/src/usage/meter.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/platform"
+	"sesamepitch/src/pool"
 	"sesamepitch/src/supervisor"
 
 	"github.com/go-logr/logr"
@@ -23,15 +26,19 @@
 	Record int64 `json:"record"`
 }
 
+var errSealed = errors.New("another daemon has counted what this one had not flushed")
+
 // Meter counts this daemon's uses and flushes them to the table.
 type Meter struct {
 	clock  sesamepitch.Clock
 	log    logr.Logger
 	table  sesamepitch.Table
-	run    string
+	name   string
 	length time.Duration
 
 	mu      sync.Mutex
+	run     string
+	runs    int
 	last    int64
 	safe    int64
 	pending Figures
@@ -45,23 +52,23 @@
 // NewMeter returns the meter of one run of a daemon; run must be used by no
 // other process.
 func NewMeter(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, run string, length time.Duration) *Meter {
-	return &Meter{clock: clock, log: log, table: table, run: run, length: length, pending: Figures{}, sums: map[string]Figures{}}
+	return &Meter{clock: clock, log: log, table: table, name: run, run: run, length: length, pending: Figures{}, sums: map[string]Figures{}}
 }
 
-// Record counts one use and returns its number.
-func (m *Meter) Record(workspace string, tokens int, milliCost int64) int64 {
+// Record counts one use.
+func (m *Meter) Record(workspace string, tokens int, milliCost int64) pool.Receipt {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.last++
 	m.pending.Add(workspace, 1, int64(tokens), milliCost)
-	return m.last
+	return pool.Receipt{Run: m.run, Number: m.last}
 }
 
-// Safe returns the number of the last record that is in the table.
-func (m *Meter) Safe() int64 {
+// Books returns how far the records are in the table.
+func (m *Meter) Books() pool.Books {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.safe
+	return pool.Books{Run: m.run, Safe: m.safe}
 }
 
 // Workers returns the meter's supervised task.
@@ -91,7 +98,12 @@
 		if m.stuck == nil {
 			return nil
 		}
-		if err := m.write(ctx, m.stuck.upTo, m.stuck.taken); err != nil {
+		err := m.write(ctx, m.stuck.upTo, m.stuck.taken)
+		if errors.Is(err, errSealed) {
+			m.beginRun()
+			continue
+		}
+		if err != nil {
 			return err
 		}
 		m.mu.Lock()
@@ -101,6 +113,23 @@
 	}
 }
 
+// beginRun goes on under a new name after others have taken this daemon for
+// gone and counted for it what it had not flushed.
+func (m *Meter) beginRun() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.runs++
+	old := m.run
+	m.run = fmt.Sprintf("%s#%d", m.name, m.runs)
+	m.log.Info("usage sealed by another daemon", "run", old, "next", m.run)
+	// The records taken were told to others before they were delivered; those
+	// still pending were numbered for the old run, too.
+	m.pending = Figures{}
+	m.stuck = nil
+	m.version = 0
+	m.sums = map[string]Figures{}
+}
+
 // take takes the pending records; nil if there are none.
 func (m *Meter) take() *batch {
 	m.mu.Lock()
@@ -122,9 +151,12 @@
 		if sesamepitch.KindOf(err) != sesamepitch.KindConflict {
 			return err
 		}
-		if sealed, readErr := m.sealed(ctx); readErr != nil || sealed {
-			m.log.Info("usage sealed by another daemon", "run", m.run, "records", upTo)
-			return err
+		sealed, readErr := m.sealed(ctx)
+		if readErr != nil {
+			return readErr
+		}
+		if sealed {
+			return errSealed
 		}
 		window = window.Next()
 	}
--- a/src/usage/shadow.go
+++ b/src/usage/shadow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,10 +16,12 @@
 )
 
 const (
-	shadowCheck = 5 * time.Second
-	// sealAfter is how long a daemon's flushes must stand still, while the
-	// table answers, before another daemon counts its records for it.
-	sealAfter = 12 * time.Second
+	shadowCheck = time.Second
+	shadowQuiet = 1200 * time.Millisecond
+	// sealAfter is how long a quiet daemon's flushes must stand still, while the
+	// table answers, before another daemon counts its records for it. The seal
+	// keeps a daemon that lives after all from counting them, too.
+	sealAfter = 2 * flushEvery
 )
 
 // shadowRecord is one use that another daemon has numbered.
@@ -44,14 +48,16 @@
 	table  sesamepitch.Table
 	run    string
 	length time.Duration
+	gone   func(ctx context.Context, run string) bool
 
 	mu      sync.Mutex
 	entries map[string]*entryShadow
 }
 
-// NewShadow returns the keeper at one run of a daemon.
-func NewShadow(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, run string, length time.Duration) *Shadow {
-	return &Shadow{clock: clock, log: log, table: table, run: run, length: length, entries: map[string]*entryShadow{}}
+// NewShadow returns the keeper at one run of a daemon; gone tells whether a run
+// is known to have ended.
+func NewShadow(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, run string, length time.Duration, gone func(ctx context.Context, run string) bool) *Shadow {
+	return &Shadow{clock: clock, log: log, table: table, run: run, length: length, gone: gone, entries: map[string]*entryShadow{}}
 }
 
 // RunName names one run of a daemon in the usage rows.
@@ -59,8 +65,8 @@
 
 // Keep implements pool.Shadow.
 func (s *Shadow) Keep(r pool.Release) {
-	run := RunName(r.Entry, r.Run)
-	if !r.Billed || run == s.run {
+	run := r.Receipt.Run
+	if !r.Billed || strings.HasPrefix(run, s.run) {
 		return
 	}
 	s.mu.Lock()
@@ -71,14 +77,15 @@
 		s.entries[run] = entry
 	}
 	entry.touched = s.clock.Now()
-	entry.records = append(entry.records, shadowRecord{record: r.Record, workspace: r.Workspace, tokens: int64(r.Tokens), milliCost: r.MilliCost})
+	entry.records = append(entry.records, shadowRecord{record: r.Receipt.Number, workspace: r.Workspace, tokens: int64(r.Tokens), milliCost: r.MilliCost})
+	s.trim(r.Books.Run, r.Books.Safe)
 }
 
 // Flushed implements pool.Shadow.
-func (s *Shadow) Flushed(entry, run string, record int64) {
+func (s *Shadow) Flushed(books pool.Books) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.trim(RunName(entry, run), record)
+	s.trim(books.Run, books.Safe)
 }
 
 // trim forgets the records up to one; it needs s.mu.
@@ -118,7 +125,8 @@
 			s.restart(run)
 			continue
 		}
-		if s.standsStill(run, row.Record) {
+		waited := s.standsStill(run, row.Record)
+		if waited >= sealAfter || (waited >= 0 && s.gone(ctx, run)) {
 			s.count(ctx, run, row.Record, version)
 		}
 	}
@@ -129,7 +137,7 @@
 	defer s.mu.Unlock()
 	var runs []string
 	for run, entry := range s.entries {
-		if s.clock.Now().Sub(entry.touched) > shadowCheck {
+		if s.clock.Now().Sub(entry.touched) > shadowQuiet {
 			runs = append(runs, run)
 		}
 	}
@@ -145,14 +153,14 @@
 	}
 }
 
-// standsStill trims what the table has and tells whether the rest has waited
-// long enough.
-func (s *Shadow) standsStill(run string, record int64) bool {
+// standsStill trims what the table has and returns how long the rest has
+// waited; negative if nothing is left.
+func (s *Shadow) standsStill(run string, record int64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry := s.entries[run]
 	if entry == nil {
-		return false
+		return -1
 	}
 	now := s.clock.Now()
 	if entry.stillAt.IsZero() || entry.seen != record {
@@ -161,7 +169,10 @@
 	touched := entry.touched
 	s.trim(run, record)
 	entry.touched = touched
-	return len(entry.records) > 0 && now.Sub(entry.stillAt) >= sealAfter
+	if len(entry.records) == 0 {
+		return -1
+	}
+	return now.Sub(entry.stillAt)
 }
 
 // count seals a gone run, so that it can flush no more, and writes the records
@@ -171,24 +182,32 @@
 	if !ok {
 		return
 	}
+	sums, last := s.sum(run, sealedAt)
+	if len(sums) > 0 && s.write(ctx, run, sums, last) != nil {
+		return
+	}
+	s.log.Info("usage of a gone daemon counted", "run", run, "workspaces", len(sums), "from", sealedAt, "to", last)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trim(run, last)
+}
+
+// sum adds up the records after one, and returns the last one's number.
+func (s *Shadow) sum(run string, after int64) (Figures, int64) {
 	s.mu.Lock()
-	sums := Figures{}
+	defer s.mu.Unlock()
+	sums, last := Figures{}, after
 	entry := s.entries[run]
-	if entry != nil {
-		for _, kept := range entry.records {
-			if kept.record > sealedAt {
-				sums.Add(kept.workspace, 1, kept.tokens, kept.milliCost)
-			}
-		}
+	if entry == nil {
+		return sums, last
 	}
-	s.mu.Unlock()
-	if len(sums) > 0 && s.write(ctx, run, sums) != nil {
-		return
+	for _, kept := range entry.records {
+		if kept.record > after {
+			sums.Add(kept.workspace, 1, kept.tokens, kept.milliCost)
+			last = max(last, kept.record)
+		}
 	}
-	s.log.Info("usage of a gone daemon counted", "run", run, "workspaces", len(sums))
-	s.mu.Lock()
-	delete(s.entries, run)
-	s.mu.Unlock()
+	return sums, last
 }
 
 func (s *Shadow) seal(ctx context.Context, run string, record, version int64) (int64, bool) {
@@ -204,24 +223,27 @@
 	return row.Record, readErr == nil && sealed != 0
 }
 
-func (s *Shadow) write(ctx context.Context, run string, sums Figures) error {
+// write adds sums to an open window once: the row that marks the last record
+// keeps a repeat from adding them again.
+func (s *Shadow) write(ctx context.Context, run string, sums Figures, last int64) error {
 	window := WindowAt(s.clock.Now(), s.length)
-	name := "s/" + run + "/" + s.run
+	name := fmt.Sprintf("s/%s/%s/%d", run, s.run, last)
+	mark := fmt.Sprintf("%s%s/%s/%d", sealedPrefix, run, s.run, last)
 	var err error
 	for range windowAttempts {
 		key := window.rowKey(name)
 		_, err = s.table.Commit(ctx, sesamepitch.Txn{
-			Checks: []sesamepitch.Check{window.Open(), {Key: key}, {Key: sealedPrefix + run + "/" + s.run}},
+			Checks: []sesamepitch.Check{window.Open(), {Key: key}, {Key: mark}},
 			Writes: []sesamepitch.Write{
 				{Key: key, Value: platform.Encode(Row{Figures: sums})},
-				{Key: sealedPrefix + run + "/" + s.run, Value: platform.Encode(window.ID())},
+				{Key: mark, Value: platform.Encode(window.ID())},
 			},
 		})
 		if err == nil {
 			return nil
 		}
 		var done string
-		written, readErr := platform.Read(ctx, s.table, sealedPrefix+run+"/"+s.run, &done)
+		written, readErr := platform.Read(ctx, s.table, mark, &done)
 		if readErr == nil && written != 0 {
 			return nil
 		}
