Spill by free streams, load tool, unit and property tests

Acquire first takes a stream that is free in any cell, own data centre first, and else waits where the queue is shortest for its size; a step's window of open requests follows how long streams are waited for.

--- a/src/command/options.go
+++ b/src/command/options.go
@@ -15,7 +15,7 @@
 	Centre  CentreOptions  `command:"centre" description:"Take a data centre out, or back in"`
 	Status  StatusOptions  `command:"status" description:"Show what is in force where"`
 	Usage   UsageOptions   `command:"usage" description:"List usage windows and whether they are reported"`
-	Load    LoadOptions    `command:"load" description:"Run seeded trainers and members against a running service"`
+	Load    LoadOptions    `command:"load" description:"Run seeded experiments on a local deployment, beside baselines"`
 	Standin StandinOptions `command:"standin" description:"Run a stand-in of an outside system"`
 	Version VersionOptions `command:"version" description:"Print the version"`
 }
@@ -138,13 +138,14 @@
 
 // LoadOptions are the options of load.
 type LoadOptions struct {
-	Preset   string        `long:"preset" env:"SESAMEPITCH_PRESET" description:"deployment" choice:"gelaenderwerk" choice:"guild" default:"gelaenderwerk"`
-	Scenario string        `long:"scenario" env:"SESAMEPITCH_SCENARIO" description:"what happens during the run" choice:"steady" choice:"stragglers" choice:"neighbour" choice:"weights" choice:"reclaim" choice:"cold" choice:"centre" choice:"no-cheap" choice:"store-down" default:"steady"`
-	Seed     int64         `long:"seed" env:"SESAMEPITCH_SEED" description:"seed of the requests" default:"1"`
-	Duration time.Duration `long:"duration" env:"SESAMEPITCH_DURATION" description:"length of the run" default:"20s"`
-	Policies []string      `long:"policy" env:"SESAMEPITCH_POLICIES" env-delim:"," description:"policies to run in turn" choice:"sesamepitch" choice:"round-robin" choice:"two-choices" default:"sesamepitch" default:"round-robin" default:"two-choices"`
-	JSON     bool          `long:"json" env:"SESAMEPITCH_JSON" description:"print JSON"`
-	Verbose  bool          `long:"verbose" env:"SESAMEPITCH_VERBOSE" description:"print the daemons' log"`
+	Preset   string   `long:"preset" env:"SESAMEPITCH_PRESET" description:"deployment" choice:"gelaenderwerk" choice:"guild" default:"gelaenderwerk"`
+	Scenario string   `long:"scenario" env:"SESAMEPITCH_SCENARIO" description:"what happens during the run" choice:"steady" choice:"stragglers" choice:"neighbour" choice:"weights" choice:"reclaim" choice:"cold" choice:"centre" choice:"no-cheap" choice:"store-down" default:"steady"`
+	Seed     uint64   `long:"seed" env:"SESAMEPITCH_SEED" description:"first seed of the work" default:"1"`
+	Seeds    uint64   `long:"seeds" env:"SESAMEPITCH_SEEDS_COUNT" description:"number of seeds, one after the other" default:"1"`
+	Steps    int      `long:"steps" env:"SESAMEPITCH_STEPS" description:"steps of each trainer" default:"3"`
+	Policies []string `long:"policy" env:"SESAMEPITCH_POLICIES" env-delim:"," description:"policies to run in turn" choice:"sesamepitch" choice:"round-robin" choice:"two-choices" default:"sesamepitch" default:"round-robin" default:"two-choices"`
+	JSON     bool     `long:"json" env:"SESAMEPITCH_JSON" description:"print JSON"`
+	Verbose  bool     `long:"verbose" env:"SESAMEPITCH_VERBOSE" description:"print the daemons' log"`
 }
 
 // StandinOptions are the subcommands of standin.
--- /dev/null
+++ b/src/document/document_test.go
@@ -0,0 +1,131 @@
+package document_test
+
+import (
+	"strings"
+	"testing"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/document"
+
+	"gotest.tools/v3/assert"
+)
+
+const hash = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+const good = `workspaces:
+  - {name: coaching, class: training, weight: 2}
+keys:
+  - {name: k1, workspace: coaching, hash: ` + hash + `}
+trainers:
+  - {name: painter, workspace: coaching, model: coach, max_lag: 1, step_time: 29m}
+models:
+  - {name: coach, version: 1}
+data_centres:
+  - {name: muc-a, region: bavaria}
+endpoints:
+  - {name: e1, data_centre: muc-a, model: coach, address: "10.0.0.1:9000", knee: 8, cold_limit: 2, milli_price: 1000}
+limits:
+  - {name: body_bytes, value: 1000}
+`
+
+func TestParse(t *testing.T) {
+	cases := []struct{ name, old, with, fault string }{
+		{"good", "", "", ""},
+		{"unknown section", "limits:", "limit:", `line 13: limit : unknown section`},
+		{"unknown field", "weight: 2", "wheight: 2", `line 2: workspaces : unknown field "wheight"`},
+		{"doubled name", "data_centres:\n", "data_centres:\n  - {name: muc-a, region: x}\n", `line 11: data_centres muc-a: stands twice`},
+		{"dangling reference", "workspace: coaching, model", "workspace: couching, model", `line 6: trainers painter: workspace "couching" is not in section workspaces`},
+		{"bad unit", "29m", "29minutes", `line 6: trainers painter: step_time "29minutes" is no duration`},
+		{"key in clear text", hash, "sp-secret", `line 4: keys k1: hash must be a key's SHA-256`},
+		{"host name", "10.0.0.1:9000", "engine:9000", `line 12: endpoints e1: address "engine:9000" must be IP:port`},
+		{"cold limit over the knee", "cold_limit: 2", "cold_limit: 9", `cold_limit must be 1 to knee`},
+		{"negative", "max_lag: 1", "max_lag: -1", `max_lag must not be negative`},
+		{"wrong type", "version: 1", "version: one", `line 8: models`},
+		{"not YAML", "workspaces:", "workspaces: [", `line`},
+		{"neither model nor service", "model: coach, address", "address", `must name either a model or a service`},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := document.Parse([]byte(strings.Replace(good, test.old, test.with, 1)))
+			if test.fault == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, test.fault)
+			assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindInvalid)
+		})
+	}
+	t.Run("all faults at once", func(t *testing.T) {
+		text := strings.Replace(strings.Replace(good, "29m", "29x", 1), "knee: 8", "knee: 0", 1)
+		_, err := document.Parse([]byte(text))
+		assert.ErrorContains(t, err, "step_time")
+		assert.ErrorContains(t, err, "knee")
+	})
+}
+
+func parse(t *testing.T, text string) document.Document {
+	t.Helper()
+	d, err := document.Parse([]byte(text))
+	assert.NilError(t, err)
+	return d
+}
+
+func TestMerge(t *testing.T) {
+	base := parse(t, good)
+	lag := parse(t, strings.Replace(good, "max_lag: 1", "max_lag: 2", 1))
+	knee := parse(t, strings.Replace(good, "knee: 8", "knee: 9", 1))
+	other := parse(t, strings.Replace(good, "max_lag: 1", "max_lag: 3", 1))
+	merged, err := document.Merge(base, lag, knee)
+	assert.NilError(t, err)
+	assert.Equal(t, merged.Trainers[0].MaxLag, int64(2))
+	assert.Equal(t, merged.Endpoints[0].Knee, 9)
+	_, err = document.Merge(base, lag, other)
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindConflict)
+	same, err := document.Merge(base, lag, lag)
+	assert.NilError(t, err)
+	assert.Equal(t, same.Digest(), lag.Digest())
+}
+
+func TestDeltasLeadToTheDigest(t *testing.T) {
+	one, two := parse(t, good), parse(t, strings.Replace(good, "knee: 8", "knee: 9", 1))
+	from := document.NewConfig(1, one)
+	delta := document.Delta{Version: 2, Digest: two.Digest(), Changes: document.Diff(one, two)}
+	next, err := document.Advance(from, []document.Delta{delta})
+	assert.NilError(t, err)
+	assert.Equal(t, next.Digest(), two.Digest())
+	gap := delta
+	gap.Version = 3
+	_, err = document.Advance(from, []document.Delta{gap})
+	assert.ErrorContains(t, err, "does not lead")
+	wrong := delta
+	wrong.Digest = one.Digest()
+	_, err = document.Advance(from, []document.Delta{wrong})
+	assert.ErrorContains(t, err, "does not lead")
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	h := document.NewHolder()
+	assert.Assert(t, h.Advance(document.NewConfig(2, document.Document{})))
+	assert.Assert(t, !h.Advance(document.NewConfig(1, document.Document{})))
+	assert.Assert(t, !h.Advance(document.NewConfig(2, document.Document{})))
+	assert.Equal(t, h.Current().Version(), int64(2))
+}
+
+// FuzzParse asserts that any input is refused with faults or makes a document
+// that is accepted again in its stored form.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("workspaces: [{name: a}]"))
+	f.Add([]byte("keys:\n  - &a {name: x}\n  - *a\n"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		d, err := document.Parse(content)
+		if err != nil {
+			assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindInvalid)
+			return
+		}
+		assert.NilError(t, document.Check(d))
+		again, err := document.Apply(document.Document{}, document.Diff(document.Document{}, d))
+		assert.NilError(t, err)
+		assert.Equal(t, again.Digest(), d.Digest())
+	})
+}
--- /dev/null
+++ b/src/lease/lease_test.go
@@ -0,0 +1,131 @@
+package lease_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/lease"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// table is a table of one row whose answers can be lost, before or after the
+// commit.
+type table struct {
+	mu   sync.Mutex
+	row  sesamepitch.Row
+	next string
+}
+
+type tableError struct{ kind sesamepitch.Kind }
+
+func (e tableError) Error() string               { return string(e.kind) }
+func (e tableError) ErrorKind() sesamepitch.Kind { return e.kind }
+
+func (t *table) Get(context.Context, string) (sesamepitch.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.next == "down" {
+		return sesamepitch.Row{}, tableError{sesamepitch.KindUnavailable}
+	}
+	return t.row, nil
+}
+
+func (t *table) List(context.Context, string) ([]sesamepitch.Row, error) {
+	return nil, errors.New("not used")
+}
+
+func (t *table) Commit(_ context.Context, txn sesamepitch.Txn) (int64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.next == "down":
+		return 0, tableError{sesamepitch.KindUnavailable}
+	case t.next == "lost before":
+		return 0, tableError{sesamepitch.KindUnknown}
+	case txn.Checks[0].Version != t.row.Version:
+		return 0, tableError{sesamepitch.KindConflict}
+	}
+	t.row = sesamepitch.Row{Key: txn.Writes[0].Key, Value: txn.Writes[0].Value, Version: t.row.Version + 1}
+	if t.next == "lost after" {
+		return 0, tableError{sesamepitch.KindUnknown}
+	}
+	return t.row.Version, nil
+}
+
+// TestOneHolder draws steps of three contenders, passing time, freezes and
+// lost answers, and asserts that no two hold the lease at the same time and
+// that fencing numbers grow.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		shared := &table{}
+		settings := lease.Settings{TTL: 3 * time.Second, Margin: 500 * time.Millisecond}
+		contenders := make([]*lease.Lease, 3)
+		for i := range contenders {
+			contenders[i] = lease.New(clock, shared, "lease", string(rune('a'+i)), "", settings)
+		}
+		last := int64(0)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			clock.Advance(time.Duration(rapid.IntRange(0, 1500).Draw(t, "millis")) * time.Millisecond)
+			shared.next = rapid.SampledFrom([]string{"", "", "", "down", "lost before", "lost after"}).Draw(t, "fault")
+			chosen := contenders[rapid.IntRange(0, 2).Draw(t, "contender")]
+			_ = chosen.Step(context.Background())
+			holders := 0
+			for _, contender := range contenders {
+				epoch, until, held := contender.Held()
+				if !held {
+					continue
+				}
+				holders++
+				if epoch < last {
+					t.Fatalf("fence %d after %d", epoch, last)
+				}
+				last = epoch
+				if until.Sub(clock.Now()) > settings.TTL {
+					t.Fatalf("held for %s", until.Sub(clock.Now()))
+				}
+			}
+			if holders > 1 {
+				t.Fatalf("%d holders", holders)
+			}
+		}
+	})
+}
+
+func TestTakeover(t *testing.T) {
+	ctx, clock, shared := context.Background(), clockwork.NewFakeClock(), &table{}
+	settings := lease.Settings{TTL: 3 * time.Second, Margin: 500 * time.Millisecond}
+	a := lease.New(clock, shared, "lease", "a", "addr-a", settings)
+	b := lease.New(clock, shared, "lease", "b", "addr-b", settings)
+	a.SetNote("members")
+	assert.NilError(t, a.Step(ctx))
+	assert.NilError(t, a.Step(ctx))
+	assert.NilError(t, b.Step(ctx))
+	clock.Advance(2600 * time.Millisecond)
+	_, _, held := a.Held()
+	assert.Assert(t, !held, "a stops before b may start")
+	assert.NilError(t, b.Step(ctx))
+	_, _, held = b.Held()
+	assert.Assert(t, !held, "b waits for the time to live and the margin")
+	clock.Advance(time.Second)
+	assert.NilError(t, b.Step(ctx))
+	epoch, _, held := b.Held()
+	assert.Assert(t, held)
+	assert.Equal(t, epoch, int64(2))
+	assert.Equal(t, b.Previous().Note, "members")
+	assert.NilError(t, a.Step(ctx))
+	_, _, held = a.Held()
+	assert.Assert(t, !held, "a finds out that it was replaced")
+	assert.NilError(t, b.Release(ctx))
+	assert.NilError(t, a.Step(ctx))
+	epoch, _, held = a.Held()
+	assert.Assert(t, held, "a released lease is taken at once")
+	assert.Equal(t, epoch, int64(3))
+}
--- /dev/null
+++ b/src/notice/notice_test.go
@@ -0,0 +1,64 @@
+package notice_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sesamepitch/src/notice"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMergeInAnyOrder checks that sets that saw the same notices in different
+// orders, some of them twice, hold the same.
+func TestMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		drawn := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) notice.Notice {
+			return notice.Notice{
+				Kind: notice.Centre, Name: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"),
+				Seq: rapid.Int64Range(1, 4).Draw(t, "seq"), Origin: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "origin"),
+			}
+		}), 0, 12).Draw(t, "notices")
+		for i := range drawn {
+			// One origin says one thing under one sequence number.
+			drawn[i].Value = []string{notice.In, notice.Out}[int(drawn[i].Seq+int64(len(drawn[i].Origin+drawn[i].Name)))%2]
+		}
+		one, other := notice.NewSet(clock), notice.NewSet(clock)
+		one.Add("", drawn...)
+		other.Add("", rapid.Permutation(drawn).Draw(t, "order")...)
+		other.Add("", drawn...)
+		for _, name := range []string{"a", "b"} {
+			if one.IsOut(name) != other.IsOut(name) {
+				t.Fatalf("%s differs", name)
+			}
+		}
+	})
+}
+
+func TestWithdrawalStays(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	set := notice.NewSet(clock)
+	withdrawal := set.NewWithdrawal("hash", "d1")
+	assert.Equal(t, set.Add("peer", withdrawal), 1)
+	assert.Equal(t, set.Add("peer", withdrawal), 0)
+	assert.Assert(t, set.IsWithdrawn("hash"))
+	back, _ := set.Since(0, "peer")
+	assert.Equal(t, len(back), 0, "not sent back to where it came from")
+	onward, _ := set.Since(0, "other")
+	assert.Equal(t, len(onward), 1)
+}
+
+func TestCrashesAreForgotten(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	set := notice.NewSet(clock)
+	for i := range 3 {
+		set.Add("", set.NewCrash("content", fmt.Sprint("engine/", i/2), "d1"))
+	}
+	assert.Equal(t, set.Crashes("content"), 2, "two streams of one crash are one event")
+	clock.Advance(11 * time.Minute)
+	assert.Equal(t, set.Crashes("content"), 0)
+}
--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -252,6 +252,17 @@
 	return free
 }
 
+// capacity counts the streams that the cell may have.
+func (c *cell) capacity(view *centre.View) int {
+	capacity := 0
+	for name, state := range c.endpoints {
+		if !view.IsLeaving(name) {
+			capacity += state.limit(view.Uncertain)
+		}
+	}
+	return capacity
+}
+
 // usable tells whether any endpoint could take the request, now or later.
 func (c *cell) usable(now time.Time, view *centre.View, r Request) bool {
 	for _, candidate := range c.candidates(now, view, "") {
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -4,8 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sort"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	sesamepitch "sesamepitch/src"
@@ -20,11 +20,18 @@
 )
 
 const (
-	holdTime    = 5 * time.Second
-	answerTime  = 1500 * time.Millisecond
-	retryPause  = 60 * time.Millisecond
-	spillAfter  = 1500 * time.Millisecond
-	remoteCache = 2 * time.Second
+	// holdTime is how long a request waits in one cell before all are looked
+	// at again.
+	holdTime   = time.Second
+	answerTime = 1500 * time.Millisecond
+	retryPause = 60 * time.Millisecond
+	// loadMemory is how long a cell that was full is not asked again.
+	loadMemory   = 200 * time.Millisecond
+	remoteCache  = 10 * time.Second
+	remoteTime   = 500 * time.Millisecond
+	remoteFanOut = 3
+	// farCost is how many times longer a far queue counts than a near one.
+	farCost     = 1.3
 	renewEvery  = time.Second
 	releaseTime = 1500 * time.Millisecond
 	keepTime    = 500 * time.Millisecond
@@ -40,6 +47,8 @@
 
 // Ask is what a caller's request needs of a stream.
 type Ask struct {
+	// Label names the request in the log.
+	Label       string
 	Pool        string
 	Workspace   string
 	Weight      int
@@ -85,18 +94,17 @@
 
 // Client asks the owners of cells for streams.
 type Client struct {
-	clock    sesamepitch.Clock
-	log      logr.Logger
-	dir      Directory
-	dialer   *peer.Dialer
-	notices  *notice.Set
-	local    *Owner
-	books    func() Books
-	mu       sync.Mutex
-	streams  map[string]*Stream
-	remote   map[string]remoteCells
-	free     map[centre.CellID]int
-	released atomic.Int64
+	clock   sesamepitch.Clock
+	log     logr.Logger
+	dir     Directory
+	dialer  *peer.Dialer
+	notices *notice.Set
+	local   *Owner
+	books   func() Books
+	mu      sync.Mutex
+	streams map[string]*Stream
+	remote  map[string]remoteCells
+	loads   map[string]cellLoad
 }
 
 type remoteCells struct {
@@ -109,7 +117,7 @@
 func NewClient(clock sesamepitch.Clock, log logr.Logger, dir Directory, dialer *peer.Dialer, notices *notice.Set, local *Owner, books func() Books) *Client {
 	return &Client{
 		clock: clock, log: log, dir: dir, dialer: dialer, notices: notices, local: local, books: books,
-		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, free: map[centre.CellID]int{},
+		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, loads: map[string]cellLoad{},
 	}
 }
 
@@ -131,21 +139,22 @@
 		if err := ctx.Err(); err != nil {
 			return nil, &Error{Op: "pool.acquire", Kind: sesamepitch.KindTimeout, Err: fmt.Errorf("%s (%s)", last.State, last.Reason)}
 		}
+		options := c.options(ctx, ask)
 		waited := c.clock.Now().Sub(started)
-		for _, option := range c.options(ctx, ask, waited, last.State) {
-			stream, reply := c.try(ctx, ask, option, waited)
-			if stream != nil {
-				return stream, nil
-			}
+		stream, reply := c.takeFree(ctx, ask, options, waited)
+		if stream == nil && reply.State == Waiting {
+			stream, reply = c.queue(ctx, ask, options, waited)
+		}
+		if stream != nil {
+			return stream, nil
+		}
+		if reply.State == Quarantined {
+			return nil, &Error{Op: "pool.acquire", Kind: sesamepitch.KindQuarantined, Err: fmt.Errorf("%s", reply.Reason)}
+		}
+		if reply.State != "" {
 			last = reply
-			if reply.State == Quarantined {
-				return nil, &Error{Op: "pool.acquire", Kind: sesamepitch.KindQuarantined, Err: fmt.Errorf("%s", reply.Reason)}
-			}
-			if reply.State == Waiting {
-				break
-			}
 		}
-		if last.State != Waiting {
+		if reply.State != Waiting {
 			c.pause(ctx)
 		}
 	}
@@ -164,56 +173,115 @@
 	cell   centre.Cell
 }
 
-// options lists cells in the order in which to ask them: the own data centre
-// first; others only if the own one cannot take the ask, or not soon.
-func (c *Client) options(ctx context.Context, ask Ask, waited time.Duration, last State) []option {
+func (o option) key() string {
+	return fmt.Sprintf("%s/%s/%d", o.centre, o.cell.ID.Pool, o.cell.ID.Index)
+}
+
+// cellLoad is what an owner last said of its cell.
+type cellLoad struct {
+	at       time.Time
+	free     int
+	queued   int
+	capacity int
+	state    State
+}
+
+// options lists the cells that may take the ask: those of the own data centre
+// first, then those of a few others.
+func (c *Client) options(ctx context.Context, ask Ask) []option {
 	view := c.dir.View()
 	if view == nil {
 		return nil
 	}
 	var list []option
 	if !c.notices.IsOut(c.dir.Centre()) {
-		for _, cell := range c.spread(view.Cells, ask.Pool) {
-			list = append(list, option{centre: c.dir.Centre(), cell: cell})
-		}
-	}
-	if len(list) > 0 && (waited < spillAfter || last == Waiting) && last != Empty {
-		return list
+		list = append(list, c.optionsOf(c.dir.Centre(), view.Cells, ask.Pool)...)
 	}
 	remotes := append([]centre.Remote(nil), view.Remotes...)
 	rand.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
-	for _, remote := range remotes {
-		if c.notices.IsOut(remote.Centre) {
-			continue
-		}
-		for _, cell := range c.spread(c.remoteCells(ctx, remote, ask.Pool), ask.Pool) {
-			list = append(list, option{centre: remote.Centre, cell: cell})
+	for _, remote := range remotes[:min(len(remotes), remoteFanOut)] {
+		if !c.notices.IsOut(remote.Centre) {
+			list = append(list, c.optionsOf(remote.Centre, c.remoteCells(ctx, remote, ask.Pool), ask.Pool)...)
 		}
 	}
 	return list
 }
 
-// spread orders a pool's cells: of two random ones the one with more free
-// streams comes first.
-func (c *Client) spread(cells []centre.Cell, pool string) []centre.Cell {
-	var list []centre.Cell
+// optionsOf lists a data centre's cells, the ones with more free streams first.
+func (c *Client) optionsOf(centreName string, cells []centre.Cell, pool string) []option {
+	var list []option
 	for _, cell := range cells {
 		if cell.ID.Pool == pool && cell.Address != "" {
-			list = append(list, cell)
+			list = append(list, option{centre: centreName, cell: cell})
 		}
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	if len(list) < 2 {
-		return list
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.free[list[1].ID] > c.free[list[0].ID] {
-		list[0], list[1] = list[1], list[0]
-	}
+	sort.SliceStable(list, func(i, j int) bool { return c.loads[list[i].key()].free > c.loads[list[j].key()].free })
 	return list
 }
 
+// takeFree asks the cells for a stream that is free now. Cells that were full a
+// moment ago are not asked; of the own data centre one always is.
+func (c *Client) takeFree(ctx context.Context, ask Ask, options []option, waited time.Duration) (*Stream, Reply) {
+	worst := Reply{}
+	for i, o := range options {
+		load := c.loadOf(o)
+		full := load.free <= 0 && c.clock.Now().Sub(load.at) < loadMemory
+		if full && (i > 0 || o.centre != c.dir.Centre()) {
+			if load.state == Waiting {
+				worst = Reply{State: Waiting}
+			}
+			continue
+		}
+		stream, reply := c.try(ctx, ask, o, waited, 0)
+		if stream != nil || reply.State == Quarantined {
+			return stream, reply
+		}
+		if worst.State != Waiting {
+			worst = reply
+		}
+	}
+	return nil, worst
+}
+
+// queue waits in the cell with the shortest queue for its size. The own data
+// centre counts as nearer; the wait is short, so that another cell that has
+// become free is found.
+func (c *Client) queue(ctx context.Context, ask Ask, options []option, waited time.Duration) (*Stream, Reply) {
+	best, found, bestScore := option{}, false, 0.0
+	for _, o := range options {
+		load := c.loadOf(o)
+		if load.state != Waiting {
+			continue
+		}
+		score := float64(load.queued+1) / float64(max(load.capacity, 1))
+		if o.centre != c.dir.Centre() {
+			score = score*farCost + farCost - 1
+		}
+		if !found || score < bestScore {
+			best, found, bestScore = o, true, score
+		}
+	}
+	if !found {
+		return nil, Reply{}
+	}
+	return c.try(ctx, ask, best, waited, holdTime)
+}
+
+func (c *Client) loadOf(o option) cellLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loads[o.key()]
+}
+
+func (c *Client) noteLoad(o option, reply Reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loads[o.key()] = cellLoad{at: c.clock.Now(), free: reply.Free, queued: reply.Queued, capacity: reply.Capacity, state: reply.State}
+}
+
 func (c *Client) remoteCells(ctx context.Context, remote centre.Remote, pool string) []centre.Cell {
 	key := remote.Address + "/" + pool
 	c.mu.Lock()
@@ -222,7 +290,7 @@
 	if found && c.clock.Now().Sub(cached.at) < remoteCache {
 		return cached.cells
 	}
-	calling, cancel := context.WithTimeout(ctx, answerTime)
+	calling, cancel := context.WithTimeout(ctx, remoteTime)
 	defer cancel()
 	var reply centre.CellsReply
 	if err := c.dialer.Call(calling, remote.Address, "Centre.Cells", centre.CellsArgs{Pool: pool}, &reply); err != nil {
@@ -234,28 +302,35 @@
 	return reply.Cells
 }
 
-func (c *Client) try(ctx context.Context, ask Ask, o option, waited time.Duration) (*Stream, Reply) {
-	self := c.dir.Self()
-	request := Request{
-		ID: uuid.NewString(), Entry: self.Address, Run: self.Incarnation, Cell: o.cell.ID,
-		Workspace: ask.Workspace, Weight: ask.Weight, Interactive: ask.Interactive, Tokens: ask.Tokens,
-		Slack: ask.Deadline.Sub(c.clock.Now()), Waited: waited, Prefix: ask.Prefix, Fingerprint: ask.Fingerprint,
-		Suspect: ask.Suspect, Urgent: ask.Urgent, Avoid: ask.Avoid, MinVersion: ask.MinVersion, Wait: holdTime,
-	}
-	if deadline, set := ctx.Deadline(); set {
-		request.Wait = max(min(request.Wait, time.Until(deadline)), 0)
+// forgetRemote drops what is known of a data centre's cells after an owner has
+// said that a cell moved.
+func (c *Client) forgetRemote(o option) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, cached := range c.remote {
+		for _, cell := range cached.cells {
+			if cell.ID == o.cell.ID && cell.Address == o.cell.Address {
+				delete(c.remote, key)
+			}
+		}
 	}
+}
+
+// try asks one cell and may hold the call there for wait.
+func (c *Client) try(ctx context.Context, ask Ask, o option, waited, wait time.Duration) (*Stream, Reply) {
+	request := c.request(ctx, ask, o, waited, wait)
 	reply, err := c.ask(ctx, o.cell.Address, request)
 	if err != nil {
 		// The owner may have granted it; give it back, so that it need not lapse.
 		if sesamepitch.KindOf(err) == sesamepitch.KindUnknown {
 			c.giveBack(request, o.cell.Address)
 		}
-		return nil, Reply{State: Moved, Reason: err.Error()}
+		reply = Reply{State: Moved, Reason: err.Error()}
+	}
+	c.noteLoad(o, reply)
+	if reply.State == Moved && o.centre != c.dir.Centre() {
+		c.forgetRemote(o)
 	}
-	c.mu.Lock()
-	c.free[o.cell.ID] = reply.Free - reply.Queued
-	c.mu.Unlock()
 	if reply.State != Granted {
 		return nil, reply
 	}
@@ -267,11 +342,25 @@
 	c.mu.Lock()
 	c.streams[stream.id] = stream
 	c.mu.Unlock()
-	c.log.Info("route", "request", stream.id, "workspace", ask.Workspace, "pool", ask.Pool, "centre", o.centre,
+	c.log.Info("route", "request", stream.id, "for", ask.Label, "workspace", ask.Workspace, "pool", ask.Pool, "centre", o.centre,
 		"endpoint", reply.Endpoint, "reason", reply.Reason, "passed", reply.Passed, "waited", waited.Round(time.Millisecond).String())
 	return stream, reply
 }
 
+func (c *Client) request(ctx context.Context, ask Ask, o option, waited, wait time.Duration) Request {
+	self := c.dir.Self()
+	request := Request{
+		ID: uuid.NewString(), Entry: self.Address, Run: self.Incarnation, Cell: o.cell.ID,
+		Workspace: ask.Workspace, Weight: ask.Weight, Interactive: ask.Interactive, Tokens: ask.Tokens,
+		Slack: ask.Deadline.Sub(c.clock.Now()), Waited: waited, Prefix: ask.Prefix, Fingerprint: ask.Fingerprint,
+		Suspect: ask.Suspect, Urgent: ask.Urgent, Avoid: ask.Avoid, MinVersion: ask.MinVersion, Wait: wait,
+	}
+	if deadline, set := ctx.Deadline(); set {
+		request.Wait = max(min(request.Wait, time.Until(deadline)), 0)
+	}
+	return request
+}
+
 func (c *Client) ask(ctx context.Context, owner string, request Request) (Reply, error) {
 	if owner == c.dir.Self().Address {
 		return c.local.Acquire(ctx, request), nil
--- a/src/pool/owner.go
+++ b/src/pool/owner.go
@@ -190,6 +190,7 @@
 		p.waiter.reply <- Reply{
 			State: Granted, Endpoint: p.decision.Endpoint, Address: endpoint.config.Address,
 			Reason: p.decision.Reason, Passed: p.decision.Passed, Queued: state.queue.Len(),
+			Free: state.free(o.clock.Now(), o.node.View()), Capacity: state.capacity(o.node.View()),
 		}
 	}
 }
@@ -206,11 +207,13 @@
 	if w == nil {
 		return refusal
 	}
-	select {
-	case reply := <-w.reply:
-		return reply
-	case <-o.clock.After(r.Wait):
-	case <-ctx.Done():
+	if r.Wait > 0 {
+		select {
+		case reply := <-w.reply:
+			return reply
+		case <-o.clock.After(r.Wait):
+		case <-ctx.Done():
+		}
 	}
 	return o.dequeue(r, w)
 }
@@ -255,7 +258,8 @@
 	}
 	state.queue.Remove(r.ID)
 	delete(state.waiters, r.ID)
-	return Reply{State: Waiting, Queued: state.queue.Len(), Free: state.free(o.clock.Now(), o.node.View())}
+	view := o.node.View()
+	return Reply{State: Waiting, Queued: state.queue.Len(), Free: state.free(o.clock.Now(), view), Capacity: state.capacity(view)}
 }
 
 // Release ends a stream and learns from its outcome.
--- a/src/pool/wire.go
+++ b/src/pool/wire.go
@@ -61,6 +61,7 @@
 	Passed   string
 	Queued   int
 	Free     int
+	Capacity int
 }
 
 // Outcome is how a stream ended.
--- a/src/rollout/rollout.go
+++ b/src/rollout/rollout.go
@@ -52,6 +52,7 @@
 	milliCost int64
 	endpoint  string
 	attempts  int
+	queued    time.Duration
 }
 
 // Text returns the generated text.
@@ -69,6 +70,9 @@
 // Endpoint returns the endpoint's name.
 func (g Generation) Endpoint() string { return g.endpoint }
 
+// Queued returns how long the last stream was waited for.
+func (g Generation) Queued() time.Duration { return g.queued }
+
 // Attempts returns how many streams it took.
 func (g Generation) Attempts() int { return g.attempts }
 
@@ -127,12 +131,14 @@
 	avoid := append([]string(nil), request.Avoid...)
 	ran := false
 	for number := 1; ; number++ {
+		asked := r.clock.Now()
 		stream, err := r.client.Acquire(ctx, r.ask(request, avoid))
 		if err != nil {
 			return Generation{}, &Error{Op: "rollout.generate", Kind: sesamepitch.KindOf(err), Ran: ran, Err: err}
 		}
 		a := &attempt{started: r.clock.Now()}
 		a.generation.endpoint, a.generation.attempts = stream.Endpoint(), number
+		a.generation.queued = a.started.Sub(asked)
 		if request.Placed != nil {
 			request.Placed(stream.Endpoint())
 		}
@@ -163,7 +169,7 @@
 func (r *Runner) ask(request Request, avoid []string) pool.Ask {
 	fingerprint := sesamepitch.Fingerprint(request.Model, request.Prompt)
 	return pool.Ask{
-		Pool: request.Model, Workspace: request.Workspace, Weight: request.Weight,
+		Label: request.ID, Pool: request.Model, Workspace: request.Workspace, Weight: request.Weight,
 		Interactive: request.Interactive, Tokens: request.MaxTokens, Deadline: request.Deadline,
 		Prefix:      sesamepitch.Fingerprint(request.Prompt[:min(len(request.Prompt), prefixBytes)]),
 		Fingerprint: fingerprint, Urgent: request.Urgent, Avoid: avoid,
@@ -251,7 +257,7 @@
 	last := errGiveUp
 	for number := 1; number <= maxAttempts; number++ {
 		stream, err := r.client.Acquire(ctx, pool.Ask{
-			Pool: judge, Workspace: request.Workspace, Weight: request.Weight, Interactive: request.Interactive,
+			Label: request.ID, Pool: judge, Workspace: request.Workspace, Weight: request.Weight, Interactive: request.Interactive,
 			Tokens: 1, Deadline: request.Deadline,
 		})
 		if err != nil {
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -128,6 +128,7 @@
 	e.mux.HandleFunc("POST /orders/load", e.loadVersion)
 	e.mux.HandleFunc("POST /control/faults", e.setFaults)
 	e.mux.HandleFunc("POST /control/cool", e.cool)
+	e.mux.HandleFunc("POST /control/crash", e.crashNow)
 	e.mux.HandleFunc("GET /control/seen", e.readSeen)
 	return e
 }
@@ -374,6 +375,11 @@
 	writeJSON(w, struct{}{})
 }
 
+func (e *Engine) crashNow(w http.ResponseWriter, _ *http.Request) {
+	e.crash()
+	writeJSON(w, struct{}{})
+}
+
 func (e *Engine) cool(w http.ResponseWriter, _ *http.Request) {
 	e.Cool()
 	writeJSON(w, struct{}{})
--- a/src/step/driver.go
+++ b/src/step/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,14 +19,20 @@
 )
 
 const (
-	maxRunning  = 512
-	batchSize   = 64
-	batchDelay  = 100 * time.Millisecond
-	claimTime   = 3 * time.Second
-	storeGrace  = 2 * time.Second
-	maxBacklog  = 8192
-	urgentShare = 4
-	storeRetry  = time.Second
+	maxRunning = 512
+	// A step asks for more streams at once while they come soon, and for fewer
+	// while they must be waited for.
+	firstWindow  = 48
+	soon         = 250 * time.Millisecond
+	late         = 2 * time.Second
+	windowShrink = 0.95
+	batchSize    = 64
+	batchDelay   = 100 * time.Millisecond
+	claimTime    = 3 * time.Second
+	storeGrace   = 2 * time.Second
+	maxBacklog   = 8192
+	urgentShare  = 4
+	storeRetry   = time.Second
 )
 
 // Generator runs generations and judges them.
@@ -95,16 +102,22 @@
 	identity Identity
 	sample   Sample
 	took     time.Duration
+	queued   time.Duration
 	err      error
 }
 
 // running is a sample under way.
 type running struct {
-	started  time.Time
 	cancel   context.CancelFunc
 	attempts int
 	hedged   bool
-	avoid    atomic.Pointer[string]
+	placed   atomic.Pointer[placed]
+}
+
+// placed is where and since when a sample's first attempt runs.
+type placed struct {
+	endpoint string
+	at       time.Time
 }
 
 // driver is one step at the daemon that drives it.
@@ -127,6 +140,7 @@
 	failing  time.Time
 	retryAt  time.Time
 	finishes int
+	window   float64
 }
 
 // Drive runs a step until the trainer has all of it, this daemon drains, or
@@ -137,7 +151,7 @@
 	workspace, _ := m.holder.Current().Workspace(trainer.Workspace)
 	d := &driver{
 		m: m, open: open, trainer: trainer, weight: workspace.Weight, delivery: delivery,
-		deadline: m.clock.Now().Add(trainer.Time()), hedger: newHedger(open.Spec),
+		deadline: m.clock.Now().Add(trainer.Time()), hedger: newHedger(open.Spec), window: firstWindow,
 		have: map[Identity]bool{}, under: map[Identity]*running{}, results: make(chan finished, maxRunning),
 		ledger: &ledger{
 			table: m.platform, objects: m.platform.Objects(), clock: m.clock, spec: open.Spec,
@@ -285,11 +299,11 @@
 	if d.m.draining.Load() {
 		return
 	}
-	for len(d.missing) > 0 && len(d.under) < maxRunning && len(d.backlog)*batchSize < maxBacklog {
+	for len(d.missing) > 0 && len(d.under) < int(d.window) && len(d.backlog)*batchSize < maxBacklog {
 		identity := d.missing[0]
 		d.missing = d.missing[1:]
 		sampling, cancel := context.WithCancel(ctx)
-		r := &running{started: d.m.clock.Now(), cancel: cancel}
+		r := &running{cancel: cancel}
 		d.under[identity] = r
 		d.start(sampling, identity, r, false)
 	}
@@ -305,13 +319,13 @@
 	group := d.open.Spec.Groups[identity.Group]
 	left := d.deadline.Sub(d.m.clock.Now())
 	request := rollout.Request{
-		ID: d.trainer.Name, Workspace: d.trainer.Workspace, Weight: d.weight, Model: d.trainer.Model,
+		ID: fmt.Sprintf("%s/%d/%d.%d", d.trainer.Name, d.open.Spec.Step, identity.Group, identity.Index), Workspace: d.trainer.Workspace, Weight: d.weight, Model: d.trainer.Model,
 		Prompt: group.Prompt, MaxTokens: group.MaxTokens, Deadline: d.deadline,
 		Urgent: hedge || left < d.trainer.Time()/urgentShare, MinVersion: d.floor, Secret: d.open.Secret,
-		Placed: func(endpoint string) { r.avoid.Store(&endpoint) },
+		Placed: func(endpoint string) { r.placed.Store(&placed{endpoint: endpoint, at: d.m.clock.Now()}) },
 	}
-	if first := r.avoid.Load(); hedge && first != nil {
-		request.Avoid = []string{*first}
+	if first := r.placed.Load(); hedge && first != nil {
+		request.Avoid = []string{first.endpoint}
 		request.Placed = nil
 	}
 	return request
@@ -325,7 +339,7 @@
 	if err != nil {
 		return finished{identity: identity, err: err}
 	}
-	took := d.m.clock.Now().Sub(started)
+	took := d.m.clock.Now().Sub(started) - generation.Queued()
 	sample := Sample{
 		Identity: identity, Text: generation.Text(), Versions: generation.Versions(), Tokens: generation.Tokens(),
 		MilliCost: generation.MilliCost(), Endpoint: generation.Endpoint(),
@@ -337,7 +351,7 @@
 		}
 		sample.Score = &score
 	}
-	return finished{identity: identity, sample: sample, took: took}
+	return finished{identity: identity, sample: sample, took: took, queued: generation.Queued()}
 }
 
 // wait takes results until a batch is full or its delay is over.
@@ -380,10 +394,22 @@
 		return nil
 	}
 	d.hedger.finished(f.identity.Group, f.took)
+	d.resize(f.queued)
 	d.ready = append(d.ready, f.sample)
 	return nil
 }
 
+// resize adapts the number of samples under way to how long streams are waited
+// for, so that waiting requests do not load the owners.
+func (d *driver) resize(queued time.Duration) {
+	switch {
+	case queued < soon:
+		d.window = min(d.window+1, maxRunning)
+	case queued > late:
+		d.window = max(d.window*windowShrink, firstWindow)
+	}
+}
+
 // failed puts a sample back, unless another attempt still runs. A content that
 // crashes endpoints ends the step, since it can never be whole.
 func (d *driver) failed(f finished, r *running) error {
@@ -404,15 +430,16 @@
 func (d *driver) hedge(ctx context.Context) {
 	now := d.m.clock.Now()
 	for identity, r := range d.under {
-		if r.hedged || r.avoid.Load() == nil || !d.hedger.wants(identity.Group, now.Sub(r.started)) {
+		first := r.placed.Load()
+		if r.hedged || first == nil || !d.hedger.wants(identity.Group, now.Sub(first.at)) {
 			continue
 		}
 		r.hedged = true
-		d.m.log.Info("hedge", "trainer", d.trainer.Name, "step", d.open.Spec.Step, "group", identity.Group, "index", identity.Index, "first", *r.avoid.Load())
+		d.m.log.Info("hedge", "trainer", d.trainer.Name, "step", d.open.Spec.Step, "group", identity.Group, "index", identity.Index, "first", first.endpoint)
 		hedging, cancel := context.WithCancel(ctx)
-		first := r.cancel
+		cancelFirst := r.cancel
 		r.cancel = func() {
-			first()
+			cancelFirst()
 			cancel()
 		}
 		d.start(hedging, identity, r, true)
