Fair shares across cells; unproven prompts may use two endpoints

Cause, from the decision log of the neighbour scenario: a trainer's waiting samples stood in its own data centre's cell while its neighbour's filled another, so each cell was fair and the whole was not; and a group's samples were held to one endpoint until the first was whole. Change: a request waits in the cell with the fewest of its workspace's requests for its size; a scout sends waiting requests to streams that are free elsewhere; a prompt without a whole answer may run on as many endpoints as it may crash.

--- a/services_test.go
+++ b/services_test.go
@@ -9,7 +9,9 @@
 	"testing"
 	"time"
 
+	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/standin"
+	"sesamepitch/src/step"
 
 	"gotest.tools/v3/assert"
 )
@@ -214,4 +216,13 @@
 	got := send(context.Background(), http.MethodPost, c.daemons[3].callers, "/v1/completions", c.key("field"), completion(4, false, "paint it "+standin.CrashMarker))
 	assert.Equal(t, got.status, http.StatusUnprocessableEntity, got.body)
 	assert.Equal(t, crashes(), 2, "the other data centre knows of it")
+	// A group of a step with such a content takes two more endpoints, and the
+	// trainer is told which prompt it was; the other groups' work stands.
+	groups := append(groupsOf(3, 4, 4), step.Group{Prompt: "and this " + standin.CrashMarker, Samples: 8, MaxTokens: 4})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, err := c.trainer().Run(ctx, 1, groups, 1, nil)
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindQuarantined, "%v", err)
+	assert.ErrorContains(t, err, "group 3")
+	assert.Assert(t, crashes() <= 4, "%d crashes", crashes())
 }
--- a/src/load/load.go
+++ b/src/load/load.go
@@ -50,7 +50,8 @@
 	straggleFactor  = 6
 	runLimit        = 4 * time.Minute
 	askLimit        = 20 * time.Second
-	reportWait      = 8 * time.Second
+	reportWait      = 6 * time.Second
+	warmTime        = 2500 * time.Millisecond
 )
 
 // Settings choose an experiment.
@@ -101,6 +102,7 @@
 		e.warm(ctx)
 	}
 	e.started = time.Now()
+	e.book.begun = e.started
 	e.play(ctx)
 	return e.report(ctx), nil
 }
@@ -126,11 +128,16 @@
 	e.service = e.base
 }
 
-// warm sends a little work to each engine through the policy, as a deployment
-// that has run for a while would have seen.
+// warm brings every engine out of its cold start, gently, as a deployment that
+// has run for a while would be. The daemons do so by their own ramp; for a
+// baseline it is done here.
 func (e *experiment) warm(ctx context.Context) {
+	if e.base != nil {
+		e.warmDirectly(ctx)
+		return
+	}
 	var wg sync.WaitGroup
-	limit := time.Now().Add(4 * time.Second)
+	limit := time.Now().Add(warmTime)
 	for worker := range 48 {
 		wg.Add(1)
 		go func() {
@@ -150,6 +157,24 @@
 	wg.Wait()
 }
 
+// warmDirectly sends each engine one request after the other.
+func (e *experiment) warmDirectly(ctx context.Context) {
+	var wg sync.WaitGroup
+	limit := time.Now().Add(warmTime)
+	for model, pool := range e.base.pools {
+		for _, engine := range pool {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for time.Now().Before(limit) {
+					_, _ = e.base.once(ctx, engine, model, "warm", engine.name, shortSample)
+				}
+			}()
+		}
+	}
+	wg.Wait()
+}
+
 // play runs the trainers' steps; members ask for as long as a trainer runs.
 func (e *experiment) play(ctx context.Context) {
 	stop := make(chan struct{})
@@ -206,7 +231,7 @@
 		begun := time.Now()
 		version := e.currentVersion()
 		err := e.service.step(ctx, e.preset.trainer(i), e.preset.workspace(i), int64(number), groups, version, func(a answer) {
-			e.book.sample(i, a, e.currentVersion())
+			e.book.sample(a, e.currentVersion())
 		})
 		e.book.step(i, tokensOf(groups), time.Since(begun), err)
 	}
--- a/src/load/preset.go
+++ b/src/load/preset.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	engineToken   = 8 * time.Millisecond
+	engineToken   = 20 * time.Millisecond
 	enginePrefill = 40 * time.Millisecond
 	engineKnee    = 8
 	engineCold    = 600 * time.Millisecond
--- a/src/load/report.go
+++ b/src/load/report.go
@@ -25,26 +25,25 @@
 
 // book collects what happens in a run.
 type book struct {
-	mu         sync.Mutex
-	took       time.Duration
-	steps      []stepRecord
-	perTrainer map[int]int64
-	ended      map[int]time.Duration
-	begun      time.Time
-	tokens     int64
-	cheap      int64
-	milliCost  int64
-	lag        int64
-	samples    int64
-	stale      int64
-	members    *hdrhistogram.Histogram
-	memberBad  int64
-	memberSum  map[int]int64
-	outCentre  string
-	outAt      time.Time
-	inAt       time.Time
-	afterOut   int64
-	failed     int
+	mu        sync.Mutex
+	took      time.Duration
+	steps     []stepRecord
+	ended     map[int]time.Duration
+	begun     time.Time
+	tokens    int64
+	cheap     int64
+	milliCost int64
+	lag       int64
+	samples   int64
+	stale     int64
+	members   *hdrhistogram.Histogram
+	memberBad int64
+	memberSum map[int]int64
+	outCentre string
+	outAt     time.Time
+	inAt      time.Time
+	afterOut  int64
+	failed    int
 }
 
 // stepRecord is one step.
@@ -56,7 +55,7 @@
 
 func newBook() *book {
 	return &book{
-		perTrainer: map[int]int64{}, ended: map[int]time.Duration{}, memberSum: map[int]int64{}, begun: time.Now(),
+		ended: map[int]time.Duration{}, memberSum: map[int]int64{}, begun: time.Now(),
 		members: hdrhistogram.New(1, maxLatency, digits),
 	}
 }
@@ -67,12 +66,11 @@
 	b.took = took
 }
 
-func (b *book) sample(trainer int, a answer, version int64) {
+func (b *book) sample(a answer, version int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.tokens += int64(a.tokens)
 	b.milliCost += a.milliCost
-	b.perTrainer[trainer] += int64(a.tokens)
 	b.samples++
 	if a.cheap {
 		b.cheap += int64(a.tokens)
@@ -224,24 +222,21 @@
 	return time.Duration(tokens) * engineToken / time.Duration(streams)
 }
 
-// worstShare is the least, over the trainers that run beside others to the end
-// of the shortest run, of the tokens a second a trainer got over its weighted
-// share of what all got.
+// worstShare is the least, over the trainers but the greedy neighbour, of the
+// step time that a trainer's weighted share of the engines gives over the step
+// time it got: its tokens at its share of all streams, and one longest sample,
+// since a sample cannot be divided.
 func (e *experiment) worstShare() float64 {
-	rates, weights := map[int]float64{}, 0
-	sum := 0.0
+	weights := 0
 	for i := range e.preset.trainers {
-		ended := e.book.ended[i]
-		if ended == 0 {
-			return 0
-		}
-		rates[i] = float64(e.book.perTrainer[i]) / ended.Seconds()
-		sum += rates[i]
 		weights += e.preset.weights[i]
 	}
 	worst := 0.0
-	for i, rate := range rates {
-		share := rate / (sum * float64(e.preset.weights[i]) / float64(weights))
+	for i := range e.preset.trainers {
+		if i == 0 && e.settings.Scenario == Neighbour {
+			continue
+		}
+		share := e.shareOf(i, weights)
 		if worst == 0 || share < worst {
 			worst = share
 		}
@@ -249,12 +244,30 @@
 	return worst
 }
 
+// shareOf is the mean over a trainer's steps of fair time over time.
+func (e *experiment) shareOf(trainer, weights int) float64 {
+	streams := float64(e.preset.trainEngine*engineKnee*e.preset.weights[trainer]) / float64(weights)
+	sum, count := 0.0, 0
+	for _, s := range e.book.steps {
+		if s.trainer != trainer {
+			continue
+		}
+		fair := float64(s.tokens)*engineToken.Seconds()/streams + (longSample*engineToken + enginePrefill).Seconds()
+		sum += fair / s.took.Seconds()
+		count++
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / float64(count)
+}
+
 // reportUsage compares the platform's reports with what trainers got. The
 // windows of the warm-up are part of the reports and not counted here.
 func (e *experiment) reportUsage(ctx context.Context, r *Report) {
-	limit := time.Now().Add(reportWait)
-	for time.Now().Before(limit) && ctx.Err() == nil {
-		time.Sleep(500 * time.Millisecond)
+	select {
+	case <-time.After(reportWait):
+	case <-ctx.Done():
 	}
 	for _, report := range e.running.Platform().Journal().Reports {
 		if report.Result != standin.ResultTaken {
--- a/src/placement/placement.go
+++ b/src/placement/placement.go
@@ -38,8 +38,8 @@
 	Suspect bool
 	// Reserve is how many streams of each endpoint are kept for interactive work.
 	Reserve int
-	// Only names the endpoint that the request may use; any if empty.
-	Only string
+	// Only names the endpoints that the request may use; any if empty.
+	Only []string
 }
 
 // Decision is the endpoint chosen, why, and what was passed over.
@@ -93,7 +93,7 @@
 		limit -= request.Reserve
 	}
 	switch {
-	case request.Only != "" && c.Name != request.Only:
+	case len(request.Only) > 0 && !contains(request.Only, c.Name):
 		return "unproven"
 	case c.Leaving:
 		return "leaving"
@@ -106,14 +106,21 @@
 	case request.Suspect && c.Suspects > 0:
 		return "suspect"
 	}
-	for _, name := range request.Avoid {
-		if name == c.Name {
-			return "avoided"
-		}
+	if contains(request.Avoid, c.Name) {
+		return "avoided"
 	}
 	return ""
 }
 
+func contains(names []string, wanted string) bool {
+	for _, name := range names {
+		if name == wanted {
+			return true
+		}
+	}
+	return false
+}
+
 func scoreOf(request Request, c Candidate) float64 {
 	score := float64(c.Running) / float64(max(c.Limit, 1))
 	if c.Cached {
--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -206,7 +206,7 @@
 func (c *cell) placementRequest(now time.Time, r Request) placement.Request {
 	return placement.Request{
 		MinVersion: r.MinVersion, Avoid: r.Avoid, Interactive: r.Interactive,
-		Urgent: r.Urgent, Suspect: r.Suspect, Reserve: c.reserve(now), Only: c.contents.only(r.Fingerprint),
+		Urgent: r.Urgent, Suspect: r.Suspect, Reserve: c.reserve(now), Only: c.contents.only(r.Fingerprint, r.Crashes),
 	}
 }
 
@@ -274,13 +274,23 @@
 	return false
 }
 
+// giveUp takes a request out of the queue whose entry no longer waits for it.
+func (c *cell) giveUp(id string) {
+	w, waiting := c.waiters[id]
+	if !waiting {
+		return
+	}
+	delete(c.waiters, id)
+	c.queue.Remove(id)
+	w.reply <- Reply{State: Moved}
+}
+
 func (c *cell) grant(now time.Time, r Request, endpoint string) {
 	state := c.endpoints[endpoint]
 	state.running++
 	if r.Suspect {
 		state.suspects++
 	}
-	state.ramp.Sent(now)
 	state.learn(r.Prefix)
 	c.contents.sent(r.Fingerprint, endpoint, now)
 	c.grants[r.ID] = &grant{
@@ -311,6 +321,7 @@
 	}
 	delete(c.grants, id)
 	c.contents.ended(g.held.Fingerprint, g.held.Endpoint)
+	c.queue.Done(g.held.Workspace, g.weight, g.tokens)
 	if state := c.endpoints[g.held.Endpoint]; state != nil {
 		state.running = max(state.running-1, 0)
 		if g.held.Suspect {
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -22,7 +22,7 @@
 const (
 	// holdTime is how long a request waits in one cell before all are looked
 	// at again.
-	holdTime   = time.Second
+	holdTime   = 5 * time.Second
 	answerTime = 1500 * time.Millisecond
 	retryPause = 60 * time.Millisecond
 	// loadMemory is how long a cell that was full is not asked again.
@@ -30,8 +30,10 @@
 	remoteCache  = 10 * time.Second
 	remoteTime   = 500 * time.Millisecond
 	remoteFanOut = 3
-	// farCost is how many times longer a far queue counts than a near one.
-	farCost     = 1.3
+	// farCost is how much more a request in a far cell counts than in a near one.
+	farCost = 1.02
+	// queueCost is what another's waiting request counts of an own one.
+	queueCost   = 0.02
 	renewEvery  = time.Second
 	releaseTime = 1500 * time.Millisecond
 	keepTime    = 500 * time.Millisecond
@@ -61,6 +63,10 @@
 	Urgent      bool
 	Avoid       []string
 	MinVersion  int64
+
+	// ctx is that of the whole request, also while it waits in one cell.
+	ctx   context.Context
+	asked time.Time
 }
 
 // Stream is a granted stream. Its context ends if the owner revokes it.
@@ -68,6 +74,7 @@
 	id       string
 	ask      Ask
 	cell     centre.CellID
+	cellKey  string
 	centre   string
 	owner    string
 	endpoint string
@@ -105,6 +112,9 @@
 	streams map[string]*Stream
 	remote  map[string]remoteCells
 	loads   map[string]cellLoad
+	scouts  *scouts
+	// mine counts this daemon's requests by cell and workspace.
+	mine map[string]int
 }
 
 type remoteCells struct {
@@ -117,7 +127,7 @@
 func NewClient(clock sesamepitch.Clock, log logr.Logger, dir Directory, dialer *peer.Dialer, notices *notice.Set, local *Owner, books func() Books) *Client {
 	return &Client{
 		clock: clock, log: log, dir: dir, dialer: dialer, notices: notices, local: local, books: books,
-		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, loads: map[string]cellLoad{},
+		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, loads: map[string]cellLoad{}, scouts: newScouts(), mine: map[string]int{},
 	}
 }
 
@@ -127,6 +137,9 @@
 		supervisor.NewWorker("renewals", func(ctx context.Context) error {
 			return supervisor.Every(ctx, c.clock, renewEvery, c.renew)
 		}),
+		supervisor.NewWorker("scout", func(ctx context.Context) error {
+			return supervisor.Every(ctx, c.clock, scoutEvery, c.scout)
+		}),
 	}
 }
 
@@ -134,6 +147,7 @@
 // been sent to any endpoint when it fails.
 func (c *Client) Acquire(ctx context.Context, ask Ask) (*Stream, error) {
 	started := c.clock.Now()
+	ask.ctx, ask.asked = ctx, started
 	last := Reply{State: Empty, Reason: "no cell serves the pool"}
 	for {
 		if err := ctx.Err(); err != nil {
@@ -246,9 +260,9 @@
 	return nil, worst
 }
 
-// queue waits in the cell with the shortest queue for its size. The own data
-// centre counts as nearer; the wait is short, so that another cell that has
-// become free is found.
+// queue waits in the cell that has the fewest requests of the workspace from
+// here for its size, so that the workspace gets its share of each cell; of two
+// alike, the shorter queue. The own data centre counts as nearer.
 func (c *Client) queue(ctx context.Context, ask Ask, options []option, waited time.Duration) (*Stream, Reply) {
 	best, found, bestScore := option{}, false, 0.0
 	for _, o := range options {
@@ -256,9 +270,9 @@
 		if load.state != Waiting {
 			continue
 		}
-		score := float64(load.queued+1) / float64(max(load.capacity, 1))
+		score := (float64(c.mineIn(o, ask.Workspace)+1) + queueCost*float64(load.queued)) / float64(max(load.capacity, 1))
 		if o.centre != c.dir.Centre() {
-			score = score*farCost + farCost - 1
+			score *= farCost
 		}
 		if !found || score < bestScore {
 			best, found, bestScore = o, true, score
@@ -267,7 +281,30 @@
 	if !found {
 		return nil, Reply{}
 	}
-	return c.try(ctx, ask, best, waited, holdTime)
+	waiting, done := c.scouts.enter(ctx, ask.Pool, best.key())
+	defer done()
+	c.countMine(best.key(), ask.Workspace, 1)
+	defer c.countMine(best.key(), ask.Workspace, -1)
+	return c.try(waiting, ask, best, waited, holdTime)
+}
+
+func mineKey(cell, workspace string) string { return cell + "/" + workspace }
+
+// mineIn counts the workspace's requests from here that wait or run in a cell.
+func (c *Client) mineIn(o option, workspace string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mine[mineKey(o.key(), workspace)]
+}
+
+func (c *Client) countMine(cell, workspace string, change int) {
+	key := mineKey(cell, workspace)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mine[key] += change
+	if c.mine[key] <= 0 {
+		delete(c.mine, key)
+	}
 }
 
 func (c *Client) loadOf(o option) cellLoad {
@@ -334,16 +371,17 @@
 	if reply.State != Granted {
 		return nil, reply
 	}
+	c.countMine(o.key(), ask.Workspace, 1)
 	stream := &Stream{
-		id: request.ID, ask: ask, cell: o.cell.ID, centre: o.centre, owner: o.cell.Address,
+		id: request.ID, ask: ask, cell: o.cell.ID, cellKey: o.key(), centre: o.centre, owner: o.cell.Address,
 		endpoint: reply.Endpoint, address: reply.Address, reason: reply.Reason,
 	}
-	stream.ctx, stream.cancel = context.WithCancel(ctx)
+	stream.ctx, stream.cancel = context.WithCancel(ask.ctx)
 	c.mu.Lock()
 	c.streams[stream.id] = stream
 	c.mu.Unlock()
 	c.log.Info("route", "request", stream.id, "for", ask.Label, "workspace", ask.Workspace, "pool", ask.Pool, "centre", o.centre,
-		"endpoint", reply.Endpoint, "reason", reply.Reason, "passed", reply.Passed, "waited", waited.Round(time.Millisecond).String())
+		"endpoint", reply.Endpoint, "reason", reply.Reason, "passed", reply.Passed, "waited", c.clock.Now().Sub(ask.asked).Round(time.Millisecond).String())
 	return stream, reply
 }
 
@@ -382,6 +420,7 @@
 func (c *Client) Release(s *Stream, r Release) {
 	self := c.dir.Self()
 	s.cancel()
+	c.countMine(s.cellKey, s.ask.Workspace, -1)
 	c.mu.Lock()
 	delete(c.streams, s.id)
 	c.mu.Unlock()
--- a/src/pool/content.go
+++ b/src/pool/content.go
@@ -8,8 +8,8 @@
 const maxContents = 8192
 
 // content is what the owner knows of one prompt. Until it has been answered
-// whole once, it runs on one endpoint at a time, so that a content that crashes
-// endpoints takes them one by one.
+// whole once, it runs on no more endpoints at a time than it may crash before it
+// is quarantined.
 type content struct {
 	proven  bool
 	running map[string]int
@@ -23,17 +23,18 @@
 
 func newContents() *contents { return &contents{known: map[string]*content{}} }
 
-// only returns the endpoint that an unproven content already runs on; empty if
-// it may run anywhere.
-func (c *contents) only(fingerprint string) string {
+// only returns the endpoints that an unproven content already runs on if it
+// may run on no others; nil if it may run anywhere.
+func (c *contents) only(fingerprint string, crashes int) []string {
 	known := c.known[fingerprint]
-	if known == nil || known.proven {
-		return ""
+	if known == nil || known.proven || len(known.running) < QuarantineAfter-crashes {
+		return nil
 	}
+	names := make([]string, 0, len(known.running))
 	for endpoint := range known.running {
-		return endpoint
+		names = append(names, endpoint)
 	}
-	return ""
+	return names
 }
 
 func (c *contents) isProven(fingerprint string) bool {
--- a/src/pool/owner.go
+++ b/src/pool/owner.go
@@ -233,7 +233,8 @@
 		state.memberSeen = now
 	}
 	// A suspect of one crash runs apart from other suspects.
-	r.Suspect = r.Suspect || o.notices.Crashes(r.Fingerprint) > 0
+	r.Crashes = o.notices.Crashes(r.Fingerprint)
+	r.Suspect = r.Suspect || r.Crashes > 0
 	w := &waiter{request: r, reply: make(chan Reply, 1)}
 	state.waiters[r.ID] = w
 	arrived := now.Add(-r.Waited)
@@ -273,6 +274,7 @@
 	if state == nil {
 		return
 	}
+	state.giveUp(r.ID)
 	switch r.Outcome {
 	case Crashed:
 		o.noteCrash(state, r)
@@ -289,6 +291,25 @@
 	o.dispatch(state)
 }
 
+// Load tells how full a cell is.
+func (o *Owner) Load(id centre.CellID) Reply {
+	if o.notices.IsOut(o.centre) {
+		return Reply{State: Barred}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	state := o.cells[id]
+	if state == nil || !o.node.Owns(id) {
+		return Reply{State: Moved}
+	}
+	now, view := o.clock.Now(), o.node.View()
+	reply := Reply{State: Waiting, Queued: state.queue.Len(), Capacity: state.capacity(view)}
+	if !now.Before(state.openAt) {
+		reply.Free = state.free(now, view)
+	}
+	return reply
+}
+
 // noteCrash holds a crash against the content that broke off, unless it has
 // been answered whole before. Where a suspect ran on the endpoint, it alone is
 // held to be the cause.
@@ -438,6 +459,12 @@
 	return nil
 }
 
+// Load answers with a cell's load.
+func (s *Service) Load(args LoadArgs, reply *Reply) error {
+	*reply = s.owner.Load(args.Cell)
+	return nil
+}
+
 // Keep remembers a use of the service for another daemon.
 func (s *Service) Keep(r Release, _ *ReleaseReply) error {
 	if s.owner.shadow != nil {
--- a/src/pool/wire.go
+++ b/src/pool/wire.go
@@ -25,10 +25,12 @@
 	Waited      time.Duration
 	Prefix      string
 	Fingerprint string
-	Suspect     bool
-	Urgent      bool
-	Avoid       []string
-	MinVersion  int64
+	// Crashes counts the endpoints that the content has crashed.
+	Crashes    int
+	Suspect    bool
+	Urgent     bool
+	Avoid      []string
+	MinVersion int64
 	// Wait is how long the owner may hold the call.
 	Wait time.Duration
 }
@@ -114,6 +116,9 @@
 	Safe int64
 }
 
+// LoadArgs asks for a cell's load.
+type LoadArgs struct{ Cell centre.CellID }
+
 // ReleaseReply is empty.
 type ReleaseReply struct{}
 
--- a/src/ramp/ramp.go
+++ b/src/ramp/ramp.go
@@ -49,17 +49,14 @@
 	r.limit = max(r.settings.Knee/2, r.settings.ColdLimit)
 }
 
-// Sent notes that a stream was sent; the cold time counts from the first.
-func (r *Ramp) Sent(now time.Time) {
+// Answered notes one whole answer. The cold time counts from the first: only
+// then is it certain that the endpoint has begun.
+func (r *Ramp) Answered(now time.Time) {
 	if r.firstAt.IsZero() {
 		r.firstAt = now
 	}
-}
-
-// Answered notes one whole answer.
-func (r *Ramp) Answered(now time.Time) {
 	r.answers++
-	if r.firstAt.IsZero() || now.Sub(r.firstAt) < r.settings.ColdTime {
+	if now.Sub(r.firstAt) < r.settings.ColdTime {
 		return
 	}
 	if r.answers >= max(r.settings.WarmAfter, 1) {
--- a/src/share/share.go
+++ b/src/share/share.go
@@ -1,6 +1,7 @@
 // Package share decides whose request goes next: interactive work before
-// training, then the workspace that has had the least for its weight, then the
-// earliest deadline. It keeps no clock and does no I/O.
+// training, then the workspace that uses the least for its weight now, then the
+// one that has had the least, then the earliest deadline. It keeps no clock and
+// does no I/O.
 package share
 
 import (
@@ -26,11 +27,12 @@
 	return i.Arrived.Before(other.Arrived)
 }
 
-// account is one workspace's waiting items, earliest deadline first, and the
-// tokens it has had, divided by its weight.
+// account is one workspace's waiting items, earliest deadline first, the tokens
+// of its items in use, and those it has had, both divided by its weight.
 type account struct {
 	name  string
 	items []Item
+	inUse float64
 	had   float64
 }
 
@@ -55,11 +57,7 @@
 	if _, waiting := q.items[item.ID]; waiting {
 		return
 	}
-	a := q.accounts[item.Workspace]
-	if a == nil {
-		a = &account{name: item.Workspace}
-		q.accounts[item.Workspace] = a
-	}
+	a := q.account(item.Workspace)
 	if len(a.items) == 0 {
 		a.had = max(a.had, q.floor)
 	}
@@ -122,6 +120,9 @@
 		}
 	}
 	sort.Slice(waiting, func(i, j int) bool {
+		if waiting[i].inUse != waiting[j].inUse {
+			return waiting[i].inUse < waiting[j].inUse
+		}
 		if waiting[i].had != waiting[j].had {
 			return waiting[i].had < waiting[j].had
 		}
@@ -132,13 +133,32 @@
 
 func (q *Queue) charge(a *account, item Item) {
 	q.floor = max(q.floor, a.had)
-	a.had += float64(item.Tokens) / float64(max(item.Weight, 1))
+	cost := weighted(item.Tokens, item.Weight)
+	a.had += cost
+	a.inUse += cost
+}
+
+func weighted(tokens, weight int) float64 { return float64(tokens) / float64(max(weight, 1)) }
+
+// Done counts an item as no longer in use; tokens is its estimate.
+func (q *Queue) Done(workspace string, weight, tokens int) {
+	a := q.account(workspace)
+	a.inUse = max(a.inUse-weighted(tokens, weight), 0)
+}
+
+func (q *Queue) account(workspace string) *account {
+	a := q.accounts[workspace]
+	if a == nil {
+		a = &account{name: workspace}
+		q.accounts[workspace] = a
+	}
+	return a
 }
 
 // Correct charges a workspace for the tokens that a request took beyond its
 // estimate; fewer is a credit.
 func (q *Queue) Correct(workspace string, weight, difference int) {
 	if a := q.accounts[workspace]; a != nil {
-		a.had += float64(difference) / float64(max(weight, 1))
+		a.had += weighted(difference, weight)
 	}
 }
--- a/src/share/share_test.go
+++ b/src/share/share_test.go
@@ -93,13 +93,34 @@
 	})
 }
 
+// TestReturningWorkspaceCatchesUp checks that a workspace that comes back gets
+// what becomes free until it uses its share.
+func TestReturningWorkspaceCatchesUp(t *testing.T) {
+	q := share.NewQueue()
+	for i := range 40 {
+		q.Push(share.Item{ID: fmt.Sprint("busy", i), Workspace: "busy", Weight: 1, Tokens: 10})
+	}
+	for range 12 {
+		_, _ = q.Next(always)
+	}
+	for i := range 20 {
+		q.Push(share.Item{ID: fmt.Sprint("back", i), Workspace: "back", Weight: 1, Tokens: 10})
+	}
+	for range 6 {
+		q.Done("busy", 1, 10)
+		item, _ := q.Next(always)
+		assert.Equal(t, item.Workspace, "back")
+	}
+}
+
 func TestIdleWorkspaceSavesNothingUp(t *testing.T) {
 	q := share.NewQueue()
 	for i := range 100 {
 		q.Push(share.Item{ID: fmt.Sprint("busy", i), Workspace: "busy", Weight: 1, Tokens: 10})
 	}
 	for range 50 {
-		_, _ = q.Next(always)
+		item, _ := q.Next(always)
+		q.Done(item.Workspace, item.Weight, item.Tokens)
 	}
 	for i := range 50 {
 		q.Push(share.Item{ID: fmt.Sprint("idle", i), Workspace: "idle", Weight: 1, Tokens: 10})
@@ -107,6 +128,7 @@
 	busy := 0
 	for range 20 {
 		item, _ := q.Next(always)
+		q.Done(item.Workspace, item.Weight, item.Tokens)
 		if item.Workspace == "busy" {
 			busy++
 		}
--- a/src/step/driver.go
+++ b/src/step/driver.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"sesamepitch/src/document"
 	"sesamepitch/src/notice"
 	"sesamepitch/src/platform"
+	"sesamepitch/src/pool"
 	"sesamepitch/src/rollout"
 	"sesamepitch/src/usage"
 
@@ -22,17 +24,19 @@
 	maxRunning = 512
 	// A step asks for more streams at once while they come soon, and for fewer
 	// while they must be waited for.
-	firstWindow  = 48
+	firstWindow  = 192
 	soon         = 250 * time.Millisecond
 	late         = 2 * time.Second
 	windowShrink = 0.95
-	batchSize    = 64
-	batchDelay   = 100 * time.Millisecond
-	claimTime    = 3 * time.Second
-	storeGrace   = 2 * time.Second
-	maxBacklog   = 8192
-	urgentShare  = 4
-	storeRetry   = time.Second
+	// unprovenSamples is how many samples of a prompt run before one is whole.
+	unprovenSamples = pool.QuarantineAfter
+	batchSize       = 64
+	batchDelay      = 100 * time.Millisecond
+	claimTime       = 3 * time.Second
+	storeGrace      = 2 * time.Second
+	maxBacklog      = 8192
+	urgentShare     = 4
+	storeRetry      = time.Second
 )
 
 // Generator runs generations and judges them.
@@ -132,6 +136,7 @@
 	hedger   *hedger
 
 	missing  []Identity
+	groups   map[int]*groupState
 	have     map[Identity]bool
 	under    map[Identity]*running
 	results  chan finished
@@ -152,7 +157,7 @@
 	d := &driver{
 		m: m, open: open, trainer: trainer, weight: workspace.Weight, delivery: delivery,
 		deadline: m.clock.Now().Add(trainer.Time()), hedger: newHedger(open.Spec), window: firstWindow,
-		have: map[Identity]bool{}, under: map[Identity]*running{}, results: make(chan finished, maxRunning),
+		have: map[Identity]bool{}, under: map[Identity]*running{}, groups: map[int]*groupState{}, results: make(chan finished, maxRunning),
 		ledger: &ledger{
 			table: m.platform, objects: m.platform.Objects(), clock: m.clock, spec: open.Spec,
 			digest: specDigest(open.Spec), run: m.run + "/" + sesamepitch.Fingerprint(m.clock.Now().String()),
@@ -176,6 +181,7 @@
 			d.missing = append(d.missing, identity)
 		}
 	}
+	d.longestFirst()
 	d.m.log.Info("step driven", "trainer", d.trainer.Name, "step", d.open.Spec.Step, "epoch", d.ledger.epoch, "missing", len(d.missing))
 	for !d.done() {
 		d.launch(ctx)
@@ -193,6 +199,15 @@
 	return Complete, nil
 }
 
+// longestFirst starts the groups with the longest samples first, so that the
+// step does not end in waiting for them.
+func (d *driver) longestFirst() {
+	groups := d.open.Spec.Groups
+	sort.SliceStable(d.missing, func(i, j int) bool {
+		return groups[d.missing[i].Group].MaxTokens > groups[d.missing[j].Group].MaxTokens
+	})
+}
+
 // stop cancels all that still runs and waits for its end. What the trainer
 // has but the table lacks is left to the manager.
 func (d *driver) stop(cancel context.CancelFunc) {
@@ -299,14 +314,40 @@
 	if d.m.draining.Load() {
 		return
 	}
-	for len(d.missing) > 0 && len(d.under) < int(d.window) && len(d.backlog)*batchSize < maxBacklog {
-		identity := d.missing[0]
-		d.missing = d.missing[1:]
+	var kept []Identity
+	for i, identity := range d.missing {
+		if len(d.under) >= int(d.window) || len(d.backlog)*batchSize >= maxBacklog {
+			kept = append(kept, d.missing[i:]...)
+			break
+		}
+		group := d.group(identity)
+		if !group.proven && group.running >= unprovenSamples {
+			kept = append(kept, identity)
+			continue
+		}
+		group.running++
 		sampling, cancel := context.WithCancel(ctx)
 		r := &running{cancel: cancel}
 		d.under[identity] = r
 		d.start(sampling, identity, r, false)
 	}
+	d.missing = kept
+}
+
+// groupState is what the driver knows of a group's prompt. Until one sample is
+// whole, only as many run as the prompt may crash endpoints.
+type groupState struct {
+	running int
+	proven  bool
+}
+
+func (d *driver) group(identity Identity) *groupState {
+	group := d.groups[identity.Group]
+	if group == nil {
+		group = &groupState{}
+		d.groups[identity.Group] = group
+	}
+	return group
 }
 
 func (d *driver) start(ctx context.Context, identity Identity, r *running, hedge bool) {
@@ -388,7 +429,8 @@
 		return d.failed(f, r)
 	}
 	r.cancel()
-	delete(d.under, f.identity)
+	d.ended(f.identity)
+	d.group(f.identity).proven = true
 	if f.sample.oldest() < d.floor() {
 		d.missing = append(d.missing, f.identity)
 		return nil
@@ -415,17 +457,22 @@
 func (d *driver) failed(f finished, r *running) error {
 	kind := sesamepitch.KindOf(f.err)
 	if kind == sesamepitch.KindQuarantined || kind == sesamepitch.KindDenied || kind == sesamepitch.KindInvalid {
-		return &Error{Op: "step.sample", Kind: kind, Err: f.err}
+		return &Error{Op: fmt.Sprintf("step.sample of group %d", f.identity.Group), Kind: kind, Err: f.err}
 	}
 	if r.attempts > 0 {
 		return nil
 	}
 	r.cancel()
-	delete(d.under, f.identity)
+	d.ended(f.identity)
 	d.missing = append(d.missing, f.identity)
 	return nil
 }
 
+func (d *driver) ended(identity Identity) {
+	delete(d.under, identity)
+	d.group(identity).running--
+}
+
 // hedge gives stragglers a second attempt.
 func (d *driver) hedge(ctx context.Context) {
 	now := d.m.clock.Now()
