An idle engine is on probation; a late renewal revives no stream

Two causes: the owner took an engine without streams to be as before; and a renewal sent before a stream's end and read after it brought the stream back as a ghost, so that the engine never looked idle (seen in the log as 'running 1/8' on the first grant after a pause). Change: after a pause of 150 ms an engine gets its cold limit until a report asked for after the pause says warm and an answer came as fast as before; unknown streams are adopted only in the first 12 s of an owner and never after their end.

--- a/load_test.go
+++ b/load_test.go
@@ -103,6 +103,37 @@
 	assert.Assert(t, p.good.Load() > 100, "%d good", p.good.Load())
 }
 
+// TestIdleEngineRestartsUnnoticed is P10: engines restart while nothing runs on
+// them, and a burst comes before any report tells of it.
+func TestIdleEngineRestartsUnnoticed(t *testing.T) {
+	t.Parallel()
+	c := newColdCluster(t)
+	p := c.press(40, 5)
+	time.Sleep(8 * time.Second)
+	p.end()
+	for round := range 3 {
+		time.Sleep(time.Duration(400+150*round) * time.Millisecond)
+		for _, name := range []string{"engine-1-1", "engine-1-2", "engine-2-1", "engine-2-2"} {
+			c.control(c.address[name], "crash", struct{}{})
+		}
+		// The engines are back, cold, after a second.
+		time.Sleep(1050 * time.Millisecond)
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				complete(c.daemons[i%4].callers, c.key("other"), 5)
+			}()
+		}
+		wg.Wait()
+	}
+	for _, name := range []string{"engine-1-1", "engine-1-2", "engine-2-1", "engine-2-2"} {
+		seen := c.seen(name)
+		assert.Equal(t, seen.ColdOverloads, 0, "%s: %s", name, seen.LastOverload)
+	}
+}
+
 func newColdCluster(t *testing.T) *cluster {
 	c := standard(t, "--cold-time", "2s", "--cold-limit", "2")
 	document := c.standardDocument()
--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -13,6 +13,7 @@
 
 const (
 	grantTTL       = 10 * time.Second
+	adoptTime      = 12 * time.Second
 	breakAfter     = 3
 	breakBase      = 500 * time.Millisecond
 	breakMax       = 8 * time.Second
@@ -22,7 +23,10 @@
 	minReserveKnee = 4
 	smoothing      = 0.2
 	coldSlowness   = 8
-	distrustTime   = 5 * time.Second
+	// idleTrust is how long an engine without streams is taken to be as before.
+	idleTrust         = 150 * time.Millisecond
+	probationSlowness = 1.6
+	distrustTime      = 5 * time.Second
 )
 
 // grant is one stream in use.
@@ -52,6 +56,14 @@
 	// distrust is until when the endpoint's word on its version is ignored,
 	// after its chunks have shown an older one.
 	distrust time.Time
+	// idleSince is when the last stream ended; zero while there are any.
+	idleSince time.Time
+	// probation is set after a pause, in which the endpoint may have started
+	// anew unnoticed, until a report says that it is warm and an answer as fast
+	// as before has come.
+	probation      bool
+	probationSince time.Time
+	reportedWarmAt time.Time
 }
 
 // waiter is one queued Request.
@@ -72,10 +84,13 @@
 	// knownWarm names the endpoints that the last owner knew as warm.
 	knownWarm map[string]bool
 	contents  *contents
+	// released holds the streams that ended while streams of an earlier owner
+	// were still adopted.
+	released map[string]bool
 }
 
 func newCell(id centre.CellID, openAt time.Time) *cell {
-	return &cell{id: id, queue: share.NewQueue(), waiters: map[string]*waiter{}, grants: map[string]*grant{}, endpoints: map[string]*endpointState{}, knownWarm: map[string]bool{}, contents: newContents(), openAt: openAt}
+	return &cell{id: id, queue: share.NewQueue(), waiters: map[string]*waiter{}, grants: map[string]*grant{}, endpoints: map[string]*endpointState{}, knownWarm: map[string]bool{}, contents: newContents(), released: map[string]bool{}, openAt: openAt}
 }
 
 func rampSettings(e document.Endpoint) ramp.Settings {
@@ -151,13 +166,17 @@
 // limit is the ramp's limit. While another owner could exist, a warm endpoint
 // gets half of it and a cold one nothing.
 func (e *endpointState) limit(uncertain bool) int {
+	limit := e.ramp.Limit()
+	if e.probation {
+		limit = min(limit, e.config.ColdLimit)
+	}
 	switch {
 	case !uncertain:
-		return e.ramp.Limit()
+		return limit
 	case e.ramp.IsCold():
 		return 0
 	default:
-		return max(e.ramp.Limit()/2, 1)
+		return max(limit/2, 1)
 	}
 }
 
@@ -287,6 +306,7 @@
 
 func (c *cell) grant(now time.Time, r Request, endpoint string) {
 	state := c.endpoints[endpoint]
+	state.wakeUp(now)
 	state.running++
 	if r.Suspect {
 		state.suspects++
@@ -299,6 +319,21 @@
 	}
 }
 
+// mayAdopt tells whether an unknown stream can be one that an earlier owner
+// granted: soon after the cell was opened, and not if its end came before a
+// renewal that was sent earlier.
+func (c *cell) mayAdopt(now time.Time, id string) bool {
+	return now.Before(c.openAt.Add(adoptTime)) && !c.released[id]
+}
+
+func (c *cell) noteReleased(now time.Time, id string) {
+	if now.Before(c.openAt.Add(adoptTime)) {
+		c.released[id] = true
+		return
+	}
+	c.released = nil
+}
+
 // adopt counts a stream that an earlier owner granted.
 func (c *cell) adopt(now time.Time, entry, run string, held Held) {
 	c.grants[held.ID] = &grant{held: held, entry: entry, run: run, weight: 1, renewed: now}
@@ -314,7 +349,7 @@
 }
 
 // drop ends a stream's count.
-func (c *cell) drop(id string) (*grant, bool) {
+func (c *cell) drop(now time.Time, id string) (*grant, bool) {
 	g, found := c.grants[id]
 	if !found {
 		return nil, false
@@ -324,6 +359,9 @@
 	c.queue.Done(g.held.Workspace, g.weight, g.tokens)
 	if state := c.endpoints[g.held.Endpoint]; state != nil {
 		state.running = max(state.running-1, 0)
+		if state.running == 0 {
+			state.idleSince = now
+		}
 		if g.held.Suspect {
 			state.suspects = max(state.suspects-1, 0)
 		}
@@ -335,7 +373,7 @@
 func (c *cell) expire(now time.Time) {
 	for id, g := range c.grants {
 		if now.Sub(g.renewed) > grantTTL {
-			c.drop(id)
+			c.drop(now, id)
 		}
 	}
 }
@@ -356,6 +394,9 @@
 			c.cool(r.Endpoint)
 			return
 		}
+		if r.TokenTime > 0 && state.reportedWarmAt.After(state.probationSince) {
+			state.probation = false
+		}
 		state.ramp.Answered(now)
 		state.measure(r.TokenTime)
 	case Stale:
@@ -368,10 +409,22 @@
 	}
 }
 
+// wakeUp puts an engine on probation that had nothing to do for a while.
+func (e *endpointState) wakeUp(now time.Time) {
+	if e.running == 0 && !e.idleSince.IsZero() && now.Sub(e.idleSince) > idleTrust && e.config.Model != "" {
+		e.probation = true
+		e.probationSince = now
+	}
+}
+
 // slowedDown tells whether a token took so much longer than before that the
 // endpoint must have turned cold.
 func (e *endpointState) slowedDown(tokenTime time.Duration) bool {
-	return e.tokenTime > 0 && float64(tokenTime) > coldSlowness*e.tokenTime && !e.ramp.IsCold()
+	limit := float64(coldSlowness)
+	if e.probation {
+		limit = probationSlowness
+	}
+	return e.tokenTime > 0 && float64(tokenTime) > limit*e.tokenTime && !e.ramp.IsCold()
 }
 
 func (e *endpointState) measure(tokenTime time.Duration) {
--- a/src/pool/owner.go
+++ b/src/pool/owner.go
@@ -63,6 +63,9 @@
 	shadow  Shadow
 	adopt   time.Duration
 
+	// loadsAt is when all engines were last asked for a report.
+	loadsAt time.Time
+
 	mu    sync.Mutex
 	cells map[centre.CellID]*cell
 }
@@ -104,16 +107,16 @@
 func (o *Owner) Workers() []supervisor.Worker {
 	return []supervisor.Worker{
 		supervisor.NewWorker("cells", func(ctx context.Context) error {
-			return supervisor.Every(ctx, o.clock, housekeeping, func(context.Context) { o.keepCells() })
+			return supervisor.Every(ctx, o.clock, housekeeping, func(context.Context) { o.KeepCells() })
 		}),
 		supervisor.NewWorker("load-reports", func(ctx context.Context) error {
-			return supervisor.Every(ctx, o.clock, loadEvery, o.readLoads)
+			return supervisor.Every(ctx, o.clock, housekeeping, o.readLoads)
 		}),
 	}
 }
 
-// keepCells takes owned cells on, drops the others, and expires streams.
-func (o *Owner) keepCells() {
+// KeepCells takes owned cells on, drops the others, and expires streams.
+func (o *Owner) KeepCells() {
 	owned := map[centre.CellID]centre.Cell{}
 	for _, c := range o.node.OwnedCells() {
 		owned[c.ID] = c
@@ -275,13 +278,14 @@
 		return
 	}
 	state.giveUp(r.ID)
+	state.noteReleased(o.clock.Now(), r.ID)
 	switch r.Outcome {
 	case Crashed:
 		o.noteCrash(state, r)
 	case Whole:
 		state.contents.prove(r.Fingerprint)
 	}
-	if g, found := state.drop(r.ID); found {
+	if g, found := state.drop(o.clock.Now(), r.ID); found {
 		state.queue.Correct(g.held.Workspace, g.weight, r.Tokens-g.tokens)
 	}
 	state.learnOutcome(o.clock.Now(), r)
@@ -343,7 +347,9 @@
 	for _, held := range r.Held {
 		g := state.grants[held.ID]
 		if g == nil {
-			state.adopt(now, r.Entry, r.Run, held)
+			if state.mayAdopt(now, held.ID) {
+				state.adopt(now, r.Entry, r.Run, held)
+			}
 			continue
 		}
 		g.renewed = now
@@ -354,8 +360,14 @@
 	return reply
 }
 
-// readLoads compares the engines' lagging reports with what is known of them.
+// readLoads compares the engines' lagging reports with what is known of them;
+// those on probation are asked more often.
 func (o *Owner) readLoads(ctx context.Context) {
+	now := o.clock.Now()
+	all := now.Sub(o.loadsAt) >= loadEvery
+	if all {
+		o.loadsAt = now
+	}
 	type target struct {
 		id            centre.CellID
 		name, address string
@@ -364,7 +376,7 @@
 	o.mu.Lock()
 	for id, state := range o.cells {
 		for name, endpoint := range state.endpoints {
-			if endpoint.config.Model != "" {
+			if endpoint.config.Model != "" && (all || endpoint.probation) {
 				targets = append(targets, target{id: id, name: name, address: endpoint.config.Address})
 			}
 		}
@@ -374,9 +386,10 @@
 	for _, t := range targets {
 		go func() {
 			defer func() { done <- struct{}{} }()
+			asked := o.clock.Now()
 			load, err := o.loads.ReadLoad(ctx, t.address)
 			if err == nil {
-				o.takeLoad(t.id, t.name, load)
+				o.takeLoad(t.id, t.name, load, asked)
 			}
 		}()
 	}
@@ -385,7 +398,8 @@
 	}
 }
 
-func (o *Owner) takeLoad(id centre.CellID, name string, load Load) {
+// takeLoad learns from a report that was asked for at a time.
+func (o *Owner) takeLoad(id centre.CellID, name string, load Load, asked time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	state := o.cells[id]
@@ -398,7 +412,8 @@
 		endpoint.version = load.Version
 		o.dispatch(state)
 	}
-	if !load.Cold || endpoint.running == 0 {
+	if !load.Cold {
+		endpoint.reportedWarmAt = asked
 		return
 	}
 	if revoked := state.cool(name); revoked > 0 {
--- /dev/null
+++ b/src/pool/owner_test.go
@@ -0,0 +1,184 @@
+package pool_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"sesamepitch/src/centre"
+	"sesamepitch/src/document"
+	"sesamepitch/src/notice"
+	"sesamepitch/src/pool"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+// membership is a data centre of one daemon that owns one cell.
+type membership struct {
+	view *centre.View
+	owns bool
+}
+
+func (m *membership) View() *centre.View        { return m.view }
+func (m *membership) Owns(centre.CellID) bool   { return m.owns }
+func (m *membership) NoteVersion(string, int64) {}
+func (m *membership) NoteWarm([]string)         {}
+func (m *membership) ReadLoad(context.Context, string) (pool.Load, error) {
+	return pool.Load{}, context.Canceled
+}
+
+func (m *membership) OwnedCells() []centre.Cell {
+	if !m.owns {
+		return nil
+	}
+	return m.view.Cells
+}
+
+var cellID = centre.CellID{Pool: "coach"}
+
+// bench is an owner with two engines of knee 4 that bear one stream when cold.
+type bench struct {
+	clock   *clockwork.FakeClock
+	member  *membership
+	notices *notice.Set
+	owner   *pool.Owner
+	next    int
+}
+
+func newBench(warm ...string) *bench {
+	clock := clockwork.NewFakeClock()
+	cell := centre.Cell{ID: cellID, Owner: "d1", Endpoints: []string{"e1", "e2"}}
+	b := &bench{clock: clock, notices: notice.NewSet(clock), member: &membership{owns: true, view: &centre.View{Cells: []centre.Cell{cell}, FirstOwners: true, Warm: warm}}}
+	d := document.Document{Models: []document.Model{{Name: "coach", Version: 1}}, DataCentres: []document.DataCentre{{Name: "muc"}}}
+	for i, name := range cell.Endpoints {
+		d.Endpoints = append(d.Endpoints, document.Endpoint{
+			Name: name, DataCentre: "muc", Model: "coach", Address: fmt.Sprintf("10.0.0.%d:1", i+1),
+			Knee: 4, ColdLimit: 1, WarmAfter: 1, ColdTime: "1s",
+		})
+	}
+	holder := document.NewHolder()
+	holder.Advance(document.NewConfig(1, d))
+	b.owner = pool.NewOwner(clock, logr.Discard(), b.member, "muc", holder, b.notices, b.member)
+	b.owner.KeepCells()
+	return b
+}
+
+// acquire asks for a stream without waiting.
+func (b *bench) acquire(change func(*pool.Request)) (pool.Request, pool.Reply) {
+	b.next++
+	r := pool.Request{ID: fmt.Sprint("r", b.next), Entry: "d1", Run: "run", Cell: cellID, Workspace: "w", Weight: 1, Tokens: 10, Slack: time.Minute}
+	if change != nil {
+		change(&r)
+	}
+	return r, b.owner.Acquire(context.Background(), r)
+}
+
+// granted takes as many streams as there are.
+func (b *bench) granted() int {
+	count := 0
+	for {
+		if _, reply := b.acquire(nil); reply.State != pool.Granted {
+			return count
+		}
+		count++
+	}
+}
+
+func (b *bench) release(r pool.Request, endpoint string, outcome pool.Outcome) {
+	b.owner.Release(pool.Release{ID: r.ID, Entry: r.Entry, Run: r.Run, Cell: cellID, Endpoint: endpoint, Outcome: outcome, Tokens: 10, TokenTime: time.Millisecond, Fingerprint: r.Fingerprint})
+}
+
+func TestColdEngineGetsItsLimit(t *testing.T) {
+	b := newBench()
+	assert.Equal(t, b.granted(), 2, "one stream for each cold engine")
+}
+
+func TestKnownWarmEngineStartsAtHalf(t *testing.T) {
+	b := newBench("e1")
+	assert.Equal(t, b.granted(), 3, "half of the knee and one cold stream")
+}
+
+func TestUncertainOwnerSparesColdEngines(t *testing.T) {
+	b := newBench("e1")
+	b.member.view.Uncertain = true
+	assert.Equal(t, b.granted(), 1, "half of half for the warm engine, nothing for the cold one")
+}
+
+func TestLateRenewalDoesNotReviveAStream(t *testing.T) {
+	b := newBench()
+	r, reply := b.acquire(nil)
+	b.release(r, reply.Endpoint, pool.Whole)
+	b.owner.Renew(pool.Renewal{Entry: r.Entry, Run: r.Run, Cell: cellID, Held: []pool.Held{{ID: r.ID, Endpoint: reply.Endpoint}}})
+	assert.Equal(t, b.granted(), 2, "the ended stream counts for nothing")
+}
+
+func TestNewOwnerAdoptsRunningStreams(t *testing.T) {
+	b := newBench()
+	b.owner.Renew(pool.Renewal{Entry: "d2", Run: "run", Cell: cellID, Held: []pool.Held{{ID: "old", Endpoint: "e1"}}})
+	assert.Equal(t, b.granted(), 1, "one cold engine is full already")
+}
+
+func TestUnrenewedStreamLapses(t *testing.T) {
+	b := newBench()
+	assert.Equal(t, b.granted(), 2)
+	b.clock.Advance(11 * time.Second)
+	b.owner.KeepCells()
+	assert.Equal(t, b.granted(), 2)
+}
+
+func TestCrashedContentIsQuarantined(t *testing.T) {
+	b := newBench()
+	poison := func(r *pool.Request) { r.Fingerprint = "poison" }
+	for range pool.QuarantineAfter {
+		r, reply := b.acquire(poison)
+		assert.Equal(t, reply.State, pool.Granted)
+		b.release(r, reply.Endpoint, pool.Crashed)
+		b.clock.Advance(10 * time.Second)
+	}
+	_, reply := b.acquire(poison)
+	assert.Equal(t, reply.State, pool.Quarantined)
+	_, reply = b.acquire(func(r *pool.Request) { r.Fingerprint = "innocent" })
+	assert.Equal(t, reply.State, pool.Granted)
+}
+
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(*bench)
+		want    pool.State
+	}{
+		{"data centre out", func(b *bench) { b.notices.Add("", b.notices.NextCentre("muc", notice.Out, "d1")) }, pool.Barred},
+		{"lease lapsed", func(b *bench) { b.member.owns = false }, pool.Moved},
+		{"all leaving", func(b *bench) { b.member.view.Leaving = []string{"e1", "e2"} }, pool.Empty},
+		{"all busy", func(b *bench) { b.granted() }, pool.Waiting},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench()
+			test.prepare(b)
+			_, reply := b.acquire(nil)
+			assert.Equal(t, reply.State, test.want)
+		})
+	}
+}
+
+func TestIdleEngineIsOnProbation(t *testing.T) {
+	b := newBench("e1", "e2")
+	r, reply := b.acquire(nil)
+	b.release(r, reply.Endpoint, pool.Whole)
+	b.clock.Advance(time.Second)
+	_, first := b.acquire(func(r *pool.Request) { r.Avoid = []string{other(reply.Endpoint)} })
+	assert.Equal(t, first.State, pool.Granted)
+	_, second := b.acquire(func(r *pool.Request) { r.Avoid = []string{other(reply.Endpoint)} })
+	assert.Equal(t, second.State, pool.Waiting, "the engine may have started anew meanwhile")
+}
+
+func other(endpoint string) string {
+	if endpoint == "e1" {
+		return "e2"
+	}
+	return "e1"
+}
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -69,6 +69,7 @@
 	Secrets       []string       `json:"secrets"`
 	MaxRunning    int            `json:"max_running"`
 	ColdOverloads int            `json:"cold_overloads"`
+	LastOverload  string         `json:"last_overload"`
 	Crashes       int            `json:"crashes"`
 	Started       int            `json:"started"`
 	LastStart     time.Time      `json:"last_start"`
@@ -202,7 +203,7 @@
 	e.running++
 	e.seen.MaxRunning = max(e.seen.MaxRunning, e.running)
 	if e.overloaded() {
-		e.seen.ColdOverloads++
+		e.noteOverload("admission")
 		e.crashLocked()
 		return 0, false, false
 	}
@@ -216,6 +217,11 @@
 // it has; one that starts bears no more than its limit at once.
 const coldPatience = 3 * time.Second
 
+func (e *Engine) noteOverload(where string) {
+	e.seen.ColdOverloads++
+	e.seen.LastOverload = fmt.Sprintf("%s at %s with %d streams, cold until %s", where, time.Now().Format(time.StampMilli), e.running, e.coldTill.Format(time.StampMilli))
+}
+
 func (e *Engine) overloaded() bool {
 	now := time.Now()
 	if !now.Before(e.coldTill) || e.running <= e.settings.ColdLimit {
@@ -289,7 +295,7 @@
 		wait = time.Duration(float64(wait) * e.faults.Slow)
 	}
 	if life == e.life && e.overloaded() {
-		e.seen.ColdOverloads++
+		e.noteOverload("stream")
 		e.crashLocked()
 	}
 	return life == e.life && !e.faults.Down, e.version, wait, e.faults
@@ -335,7 +341,7 @@
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	load := EngineLoad{Running: e.running, Version: e.reported, Cold: time.Now().Before(e.coldTill)}
+	load := EngineLoad{Running: e.running, Version: e.reported, Cold: e.coldTill.IsZero() || time.Now().Before(e.coldTill)}
 	e.mu.Unlock()
 	writeJSON(w, load)
 }
