Stragglers: hedge what a group waits for, give a slow engine one stream

Cause, from the log of a walk with two engines, one made 30 times slower: the two first samples of a group ran there for 9 s while the other four waited for one to be whole; no hedge, since the group was not half whole; then two more were placed there because the fast engine was on probation. Ruled out: the queue (no wait). Change: a group without a whole sample is hedged, too; an engine three times slower than the median gets one stream at a time while others are fast; a straggler that is given up tells how slow it was; at least four hedges a step.

--- a/src/centre/leader.go
+++ b/src/centre/leader.go
@@ -16,7 +16,7 @@
 const (
 	// beatPerMember keeps a leader's control traffic under its bound in a
 	// large data centre.
-	beatPerMember = 45 * time.Millisecond
+	beatPerMember = 60 * time.Millisecond
 	probeTime     = 300 * time.Millisecond
 	// reportBeats is how many heartbeats members have to find a new leader.
 	reportBeats = 2
@@ -148,7 +148,7 @@
 	n.forgetMembers(now)
 	n.noteMembers()
 	n.assign(now)
-	n.rebuildView(now)
+	n.rebuildView()
 	n.interval = n.beatInterval()
 }
 
@@ -319,8 +319,8 @@
 }
 
 // rebuildView gives the view a new version if anything in it changed.
-func (n *Node) rebuildView(now time.Time) {
-	next := &View{Epoch: n.lead.epoch, Leader: n.settings.Self, Members: n.liveMembers(), Leaving: n.lead.leaving, Remotes: n.lead.remotes, Uncertain: n.uncertain(now), Warm: n.warmEndpoints(), FirstOwners: n.firstOwners()}
+func (n *Node) rebuildView() {
+	next := &View{Epoch: n.lead.epoch, Leader: n.settings.Self, Members: n.liveMembers(), Leaving: n.lead.leaving, Remotes: n.lead.remotes, Uncertain: n.uncertain(), Warm: n.warmEndpoints(), FirstOwners: n.firstOwners()}
 	for _, cell := range cellsOf(n.holder.Current(), n.settings.Centre) {
 		if held := n.lead.cells[cell.ID]; held != nil {
 			cell.Owner, cell.Address = held.owner.ID, held.owner.Address
@@ -382,7 +382,7 @@
 
 // uncertain tells whether another leader could exist: the lease has lapsed
 // because the table is out of reach, and a member is silent but not gone.
-func (n *Node) uncertain(now time.Time) bool {
+func (n *Node) uncertain() bool {
 	if _, _, held := n.lease.Held(); held {
 		return false
 	}
--- a/src/command/operate.go
+++ b/src/command/operate.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/deployment"
@@ -192,10 +193,10 @@
 			_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%t\n", c.Centre, m.ID, m.Config, m.Batches, m.ID == c.Leader)
 		}
 	}
-	_, _ = fmt.Fprintln(table, "\nPOOL\tCELL\tQUEUED\tENDPOINT\tRUNNING\tLIMIT\tWEIGHTS\tBROKEN")
+	_, _ = fmt.Fprintln(table, "\nPOOL\tCELL\tQUEUED\tENDPOINT\tRUNNING\tLIMIT\tWEIGHTS\tTOKEN\tBROKEN")
 	for _, cell := range s.Cells {
 		for _, e := range cell.Endpoints {
-			_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%d\t%d\t%d\t%t\n", cell.Pool, cell.Index, cell.Queued, e.Name, e.Running, e.Limit, e.Version, e.Broken)
+			_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%d\t%d\t%d\t%s\t%t\n", cell.Pool, cell.Index, cell.Queued, e.Name, e.Running, e.Limit, e.Version, time.Duration(e.TokenMicros)*time.Microsecond, e.Broken)
 		}
 	}
 	return table.Flush()
--- a/src/daemon/daemon.go
+++ b/src/daemon/daemon.go
@@ -41,6 +41,7 @@
 	adoptionSlack   = 500 * time.Millisecond
 	finalFlushTime  = 5 * time.Second
 	finalFlushPause = 100 * time.Millisecond
+	shortID         = 8
 )
 
 // Daemon is one entry instance.
@@ -121,7 +122,7 @@
 // usage, orders, steps and the two listeners' servers.
 func (d *Daemon) assemble() error {
 	s := d.settings
-	self := centre.Member{ID: s.Instance, Incarnation: uuid.NewString(), Address: s.Peers}
+	self := centre.Member{ID: s.Instance, Incarnation: uuid.NewString()[:shortID], Address: s.Peers}
 	run := usage.RunName(self.Address, self.Incarnation)
 	times := lease.Settings{TTL: s.LeaseTTL, Margin: s.LeaseMargin}
 	services := platform.New(s.Platform, platform.WithSource(s.Source))
--- a/src/notice/notice.go
+++ b/src/notice/notice.go
@@ -35,7 +35,10 @@
 	In  = "in"
 )
 
-const crashMemory = 10 * time.Minute
+const (
+	crashMemory = 10 * time.Minute
+	shortID     = 8
+)
 
 // Notice is one fact. Of two with the same kind and name the one with the
 // higher Seq holds, at equal Seq the one with the higher Origin.
@@ -76,7 +79,7 @@
 
 // NewSet returns an empty set.
 func NewSet(clock sesamepitch.Clock) *Set {
-	return &Set{id: uuid.NewString(), clock: clock, held: map[string]Notice{}, crashes: map[string][]time.Time{}}
+	return &Set{id: uuid.NewString()[:shortID], clock: clock, held: map[string]Notice{}, crashes: map[string][]time.Time{}}
 }
 
 // ID tells this process's log from that of any other.
--- a/src/placement/placement.go
+++ b/src/placement/placement.go
@@ -59,14 +59,22 @@
 	reclaimCost = 2.0
 	// cheapGain draws work that can be redone to reclaimable endpoints.
 	cheapGain = 0.1
+	// slowLimit is the time of a token, relative to the pool's median, from which
+	// an endpoint gets no work while others are fast.
+	slowLimit = 3.0
 )
 
 // Choose picks the endpoint with the lowest score.
 func Choose(request Request, candidates []Candidate) (Decision, bool) {
 	best, bestScore, found := Candidate{}, 0.0, false
 	var passed []string
+	spare := hasFast(candidates)
 	for _, c := range candidates {
-		if reason := unfit(request, c); reason != "" {
+		reason := unfit(request, c)
+		if reason == "" && spare && tooSlow(request, c) {
+			reason = "slow"
+		}
+		if reason != "" {
 			passed = append(passed, c.Name+":"+reason)
 			continue
 		}
@@ -86,6 +94,22 @@
 	return Decision{Endpoint: best.Name, Reason: reason, Passed: strings.Join(passed, ",")}, true
 }
 
+// hasFast tells whether an endpoint that works is not slow.
+func hasFast(candidates []Candidate) bool {
+	for _, c := range candidates {
+		if !c.Leaving && !c.Broken && c.Slowness <= slowLimit {
+			return true
+		}
+	}
+	return false
+}
+
+// tooSlow tells whether waiting for another endpoint is better. One stream that
+// can be redone shows whether a slow endpoint has recovered.
+func tooSlow(request Request, c Candidate) bool {
+	return c.Slowness > slowLimit && (c.Running > 0 || request.Interactive || request.Urgent)
+}
+
 // unfit returns why a candidate cannot take the request, empty if it can.
 func unfit(request Request, c Candidate) string {
 	limit := c.Limit
--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -23,6 +23,7 @@
 	minReserveKnee = 4
 	smoothing      = 0.2
 	coldSlowness   = 8
+	enoughTokens   = 4
 	// idleTrust is how long an engine without streams is taken to be as before.
 	idleTrust         = 150 * time.Millisecond
 	probationSlowness = 1.6
@@ -399,6 +400,11 @@
 		}
 		state.ramp.Answered(now)
 		state.measure(r.TokenTime)
+	case Cancelled:
+		// A straggler that was given up for a hedge tells how slow it was.
+		if r.Tokens >= enoughTokens {
+			state.measure(r.TokenTime)
+		}
 	case Stale:
 		state.distrust = now.Add(distrustTime)
 	case Refused, Crashed:
--- a/src/step/hedge.go
+++ b/src/step/hedge.go
@@ -13,7 +13,7 @@
 	hedgeSlower = 1.8
 	// hedgeBudget is the share of a step's samples that may be hedged.
 	hedgeBudget = 0.12
-	minHedges   = 2
+	minHedges   = 4
 	minMedianOf = 4
 )
 
@@ -46,14 +46,16 @@
 }
 
 // wants tells whether a sample of the group that has run for d gets a second
-// attempt, and takes it from the budget.
+// attempt, and takes it from the budget. While no sample of a group is whole the
+// others wait for it, so its first ones are hedged, too.
 func (h *hedger) wants(group int, d time.Duration) bool {
 	if h.budget == 0 || len(h.durations) < minMedianOf {
 		return false
 	}
 	median := h.durations[len(h.durations)/2]
 	nearlyWhole := float64(h.whole[group]) >= hedgeWhenWhole*float64(h.sizes[group])
-	if !nearlyWhole || float64(d) < hedgeSlower*float64(median) {
+	awaited := h.whole[group] == 0
+	if (!nearlyWhole && !awaited) || float64(d) < hedgeSlower*float64(median) {
 		return false
 	}
 	h.budget--
