Tests made sharper by taking mechanisms out; baselines leave a data centre, too

Each promise's mechanism was taken out in a scratch copy and its test run. Three tests passed without theirs and are now strict enough to fail: crossed and early ended answers had the right text all the same, the frozen instance could not serve before the news came, and orders to engines were not looked at.

--- a/cluster_test.go
+++ b/cluster_test.go
@@ -41,6 +41,8 @@
 	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
 		panic(string(out))
 	}
+	// Each test process begins elsewhere in the loopback range.
+	subnets.Store(int64(os.Getpid()) * 7 % subnetCount)
 	code := m.Run()
 	_ = os.RemoveAll(folder)
 	os.Exit(code)
@@ -101,6 +103,9 @@
 	started  []*process
 }
 
+// subnetCount is how many clusters have addresses of their own: 127.10 to 127.209.
+const subnetCount = 200
+
 var subnets atomic.Int64
 
 func newCluster(t *testing.T) *cluster {
@@ -117,7 +122,7 @@
 
 // ip is an address of this cluster's own part of the loopback range.
 func (c *cluster) ip(centre, host int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 10+c.subnet%200, centre, host)
+	return fmt.Sprintf("127.%d.%d.%d", 10+c.subnet%subnetCount, centre, host)
 }
 
 func (c *cluster) start(name string, args ...string) *process {
--- a/control_test.go
+++ b/control_test.go
@@ -12,6 +12,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/standin"
+	"sesamepitch/src/trainer"
 
 	"gotest.tools/v3/assert"
 )
@@ -67,11 +68,16 @@
 // with different figures.
 func TestOneProcessInCharge(t *testing.T) {
 	t.Parallel()
-	c := standard(t)
-	c.faults(standin.PlatformFaults{IgnoreFence: true, LoseAnswers: 0.1})
+	c := standard(t, "--swap-time", "50ms")
+	c.faults(standin.PlatformFaults{IgnoreFence: true, LoseAnswers: 0.1, SlowMillis: 250})
 	random := rand.New(rand.NewPCG(7, 7))
 	stop := make(chan struct{})
 	losing := c.loseEndpoints(stop)
+	losing.Add(1)
+	go func() {
+		defer losing.Done()
+		c.publishVersions(stop)
+	}()
 	p := c.press(6, 4)
 	for range 4 {
 		time.Sleep(time.Duration(3500+random.IntN(2000)) * time.Millisecond)
@@ -92,10 +98,40 @@
 	losing.Wait()
 	journal := c.journal()
 	holders := assertHandovers(t, journal.Orders, func(o standin.ReceivedOrder) (string, string, int64) { return o.Centre, o.Holder, o.Fence })
-	assert.Assert(t, holders >= 4, "too few handovers of orders for the test: %d", holders)
 	reporters := assertHandovers(t, journal.Reports, func(r standin.ReceivedReport) (string, string, int64) { return "usage", r.Holder, r.Fence })
 	t.Logf("%d orders by %d holders, %d reports by %d", len(journal.Orders), holders, len(journal.Reports), reporters)
 	assertSameFigures(t, journal.Reports)
+	fences := map[string]bool{}
+	for _, name := range []string{"engine-1-1", "engine-1-2", "engine-2-1", "engine-2-2"} {
+		orders := c.seen(name).Orders
+		assert.Assert(t, len(orders) > 0, name)
+		last := int64(0)
+		for i, order := range orders {
+			assert.Assert(t, order.Fence >= last, "%s: order %d of %d has fence %d after %d", name, i, len(orders), order.Fence, last)
+			last = order.Fence
+			fences[fmt.Sprint(name[:len("engine-1")], order.Fence)] = true
+		}
+	}
+	assert.Assert(t, len(fences) >= 5, "too few handovers of orders for the test: %v", fences)
+}
+
+// publishVersions publishes weights again and again, so that the leaders keep
+// ordering loads.
+func (c *cluster) publishVersions(stop <-chan struct{}) {
+	for version := int64(2); ; version++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(400 * time.Millisecond):
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		for _, d := range c.daemons {
+			if trainer.New("painter", c.key("coaching"), d.callers).Publish(ctx, "coach", version, "weights") == nil {
+				break
+			}
+		}
+		cancel()
+	}
 }
 
 // assertHandovers asserts, for each role, that holders follow each other with
--- a/cost_test.go
+++ b/cost_test.go
@@ -98,7 +98,7 @@
 	fmt.Fprintf(&b, "workspaces:\n  - {name: w, class: training, weight: 1}\nkeys:\n  - {name: k, workspace: w, hash: %s}\n", c.keyHash("w"))
 	b.WriteString("models:\n  - {name: coach, version: 1}\ndata_centres:\n  - {name: dc-1, region: r}\nendpoints:\n")
 	for i := range endpoints {
-		fmt.Fprintf(&b, "  - {name: e%d, data_centre: dc-1, model: coach, address: \"127.77.%d.%d:9155\", knee: 8, cold_limit: 2, milli_price: 1000}\n", i, i/250, 1+i%250)
+		fmt.Fprintf(&b, "  - {name: e%d, data_centre: dc-1, model: coach, address: \"127.220.%d.%d:9155\", knee: 8, cold_limit: 2, milli_price: 1000}\n", i, i/250, 1+i%250)
 	}
 	return b.String()
 }
--- a/keys_test.go
+++ b/keys_test.go
@@ -231,12 +231,22 @@
 	for range 8 {
 		go func() { waiting <- complete(frozen.callers, c.key("field"), 1) }()
 	}
-	_, err := c.daemons[3].client().Withdraw(context.Background(), operator.Withdrawal{Name: "field-1"})
-	assert.NilError(t, err)
-	time.Sleep(3500 * time.Millisecond)
+	withdrawn := make(chan error, 1)
+	go func() {
+		_, err := c.daemons[3].client().Withdraw(context.Background(), operator.Withdrawal{Name: "field-1"})
+		withdrawn <- err
+	}()
+	// The instance still owns its cells then, and could serve on its own.
+	time.Sleep(3300 * time.Millisecond)
+	// At its waking the network is slow for a moment, so that the requests are
+	// read before any news.
+	c.net.set(frozen.ip, "", hanging)
 	frozen.signal(continueSignal)
+	time.Sleep(300 * time.Millisecond)
+	c.net.heal()
 	for range 8 {
 		got := <-waiting
 		assert.Assert(t, got.err != nil || got.status == http.StatusUnauthorized, "%d %s", got.status, got.body)
 	}
+	assert.NilError(t, <-withdrawn)
 }
--- a/services_test.go
+++ b/services_test.go
@@ -148,6 +148,7 @@
 		{"crossed", standin.EngineFaults{CrossAnswers: true}},
 		{"truncated", standin.EngineFaults{Truncate: true}},
 		{"cut", standin.EngineFaults{CutAfter: 3}},
+		{"ended early", standin.EngineFaults{EndAfter: 3}},
 	}
 	c := standard(t)
 	for _, test := range cases {
--- a/src/load/load.go
+++ b/src/load/load.go
@@ -368,8 +368,11 @@
 	centreName := e.preset.centres[0]
 	e.book.centre(centreName, state == notice.Out)
 	if e.base != nil {
-		e.mu.Lock()
-		defer e.mu.Unlock()
+		if state == notice.In {
+			e.base.out.Store(nil)
+			return
+		}
+		e.base.out.Store(&centreName)
 		return
 	}
 	_, _ = e.running.Instances()[len(e.running.Instances())-1].Operator().SetCentre(ctx, operator.CentreState{Name: centreName, State: state})
--- a/src/load/service.go
+++ b/src/load/service.go
@@ -84,11 +84,12 @@
 // baseline sends each request straight to an engine, as it comes. It knows all
 // engines and every request under way, which a real balancer would not.
 type baseline struct {
-	engines  *endpoint.Client
-	pools    map[string][]*baseEngine
-	pick     func(pool []*baseEngine, avoid *baseEngine) *baseEngine
-	versions sync.Map
-	wasted   atomic.Int64
+	engines *endpoint.Client
+	pools   map[string][]*baseEngine
+	pick    func(pool []*baseEngine, avoid *baseEngine) *baseEngine
+	// out names a data centre that gets no new work; none if empty.
+	out    atomic.Pointer[string]
+	wasted atomic.Int64
 }
 
 // baseEngine is an engine as a baseline sees it.
@@ -137,7 +138,7 @@
 	var failed *baseEngine
 	var err error
 	for range baselineTries {
-		engine := b.pick(b.pools[model], failed)
+		engine := b.pick(b.inService(model), failed)
 		var a answer
 		a, err = b.once(ctx, engine, model, workspace, prompt, tokens)
 		if err == nil && len(a.versions) > 0 && a.versions[0] >= floor {
@@ -154,6 +155,21 @@
 	return answer{}, &Error{Op: "load.baseline", Kind: sesamepitch.KindUnavailable, Err: err}
 }
 
+// inService lists the engines of the data centres that are not out.
+func (b *baseline) inService(model string) []*baseEngine {
+	out := b.out.Load()
+	if out == nil {
+		return b.pools[model]
+	}
+	var list []*baseEngine
+	for _, engine := range b.pools[model] {
+		if engine.info.centre != *out {
+			list = append(list, engine)
+		}
+	}
+	return list
+}
+
 func (b *baseline) once(ctx context.Context, engine *baseEngine, model, workspace, prompt string, tokens int) (answer, error) {
 	engine.running.Add(1)
 	defer engine.running.Add(-1)
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -26,7 +26,10 @@
 	CutAfter int `json:"cut_after"`
 	// Truncate ends each stream without its end mark.
 	Truncate bool `json:"truncate"`
-	// CrossAnswers sends the request id of the request before.
+	// EndAfter ends each stream cleanly after this many tokens, without its end
+	// mark.
+	EndAfter int `json:"end_after"`
+	// CrossAnswers sends the answer of the request before.
 	CrossAnswers bool `json:"cross_answers"`
 	// Redirect answers with a redirect to this address.
 	Redirect string `json:"redirect"`
@@ -75,6 +78,8 @@
 	LastStart     time.Time      `json:"last_start"`
 	CacheHits     int            `json:"cache_hits"`
 	Version       int64          `json:"version"`
+	// Orders are the load orders received, in their order.
+	Orders []LoadOrder `json:"orders"`
 }
 
 // CompletionRequest is the part of the model servers' request that we send.
@@ -308,6 +313,9 @@
 		if !alive || (faults.CutAfter > 0 && i >= faults.CutAfter) {
 			abort()
 		}
+		if faults.EndAfter > 0 && i >= faults.EndAfter {
+			return
+		}
 		select {
 		case <-time.After(wait):
 		case <-r.Context().Done():
@@ -316,7 +324,10 @@
 		if alive, _, _, _ = e.step(life); !alive {
 			abort()
 		}
-		chunk := Chunk{ID: e.answerID(id, faults), Text: fmt.Sprintf(" w%d", i), Tokens: 1, Version: version}
+		chunk := Chunk{ID: id, Text: fmt.Sprintf(" w%d", i), Tokens: 1, Version: version}
+		if before := e.before(id, faults); before != id {
+			chunk.ID, chunk.Text = before, " crossed"
+		}
 		encoded, _ := json.Marshal(chunk)
 		if _, err := fmt.Fprintf(w, "data: %s\n\n", encoded); err != nil {
 			abort()
@@ -328,13 +339,15 @@
 	}
 }
 
-func (e *Engine) answerID(id string, faults EngineFaults) string {
+// before returns the request whose answer is sent: the own one, or another's if
+// answers are crossed.
+func (e *Engine) before(id string, faults EngineFaults) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	before := e.lastID
+	last := e.lastID
 	e.lastID = id
-	if faults.CrossAnswers && before != "" {
-		return before
+	if faults.CrossAnswers && last != "" {
+		return last
 	}
 	return id
 }
@@ -358,6 +371,7 @@
 		return
 	}
 	e.fence = max(e.fence, order.Fence)
+	e.seen.Orders = append(e.seen.Orders, order)
 	e.mu.Unlock()
 	time.Sleep(e.settings.Swap)
 	e.mu.Lock()
@@ -408,6 +422,7 @@
 	defer e.mu.Unlock()
 	seen := e.seen
 	seen.Version = e.version
+	seen.Orders = append([]LoadOrder(nil), e.seen.Orders...)
 	seen.Requests = map[string]int{}
 	for id, count := range e.seen.Requests {
 		seen.Requests[id] = count
