--- a/src/centre/cells.go
+++ b/src/centre/cells.go
@@ -48,6 +48,12 @@
 	return owner, owner.ID != ""
 }
 
+// division is a document's cells.
+type division struct {
+	version int64
+	cells   []Cell
+}
+
 // tenure is a cell's ownership as its leader keeps it.
 type tenure struct {
 	owner Member
--- a/src/centre/leader.go
+++ b/src/centre/leader.go
@@ -268,7 +268,7 @@
 func (n *Node) assign(now time.Time) {
 	members := n.liveMembers()
 	wanted := map[CellID]bool{}
-	for _, cell := range cellsOf(n.holder.Current(), n.settings.Centre) {
+	for _, cell := range n.cells() {
 		wanted[cell.ID] = true
 		held := n.lead.cells[cell.ID]
 		if held == nil {
@@ -284,6 +284,16 @@
 	}
 }
 
+// cells lists the data centre's cells without owners; it needs n.mu. They are
+// divided anew only when the document has changed.
+func (n *Node) cells() []Cell {
+	config := n.holder.Current()
+	if n.divided.version != config.Version() {
+		n.divided = division{version: config.Version(), cells: cellsOf(config, n.settings.Centre)}
+	}
+	return n.divided.cells
+}
+
 func (n *Node) assignCell(now time.Time, id CellID, held *tenure, members []Member) {
 	if held.moving && n.released(now, held) {
 		held.moving = false
@@ -321,7 +331,7 @@
 // rebuildView gives the view a new version if anything in it changed.
 func (n *Node) rebuildView() {
 	next := &View{Epoch: n.lead.epoch, Leader: n.settings.Self, Members: n.liveMembers(), Leaving: n.lead.leaving, Remotes: n.lead.remotes, Uncertain: n.uncertain(), Warm: n.warmEndpoints(), FirstOwners: n.firstOwners()}
-	for _, cell := range cellsOf(n.holder.Current(), n.settings.Centre) {
+	for _, cell := range n.cells() {
 		if held := n.lead.cells[cell.ID]; held != nil {
 			cell.Owner, cell.Address = held.owner.ID, held.owner.Address
 		}
--- a/src/centre/node.go
+++ b/src/centre/node.go
@@ -72,6 +72,7 @@
 	exchanged map[string]*exchangeState
 	listed    map[string]string
 	warm      []string
+	divided   division
 	// peerHeard is set in a search if a peer still hears its leader.
 	peerHeard bool
 	// left are former members of the view, by address and incarnation.
@@ -260,6 +261,16 @@
 	return next, nil
 }
 
+// Daemons estimates how many daemons there are in all data centres.
+func (n *Node) Daemons() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.view == nil {
+		return 1
+	}
+	return len(n.view.Members) * (len(n.view.Remotes) + 1)
+}
+
 // Store returns the document's store.
 func (n *Node) Store() *document.Store { return n.store }
 
--- a/src/daemon/daemon.go
+++ b/src/daemon/daemon.go
@@ -131,8 +131,9 @@
 	d.dialer, d.rpc = peer.NewDialer(s.Source), rpc.NewServer()
 	d.node = centre.New(centre.Settings{Centre: s.Centre, Self: self, Seeds: s.Seeds, Beat: s.Beat, Lease: times, CellLease: s.CellLease},
 		d.clock, d.log, services, d.dialer, holder, notices)
-	d.meter = usage.NewMeter(d.clock, d.log, services, run, s.UsageWindow)
-	d.shadow = usage.NewShadow(d.clock, d.log, services, run, s.UsageWindow, d.isGone)
+	pace := usage.PaceFor(d.node.Daemons)
+	d.meter = usage.NewMeter(d.clock, d.log, services, run, s.UsageWindow, pace)
+	d.shadow = usage.NewShadow(d.clock, d.log, services, run, s.UsageWindow, pace, d.isGone)
 	d.owner = pool.NewOwner(d.clock, d.log, d.node, s.Centre, holder, notices, engines,
 		pool.WithAdoption(adoptionBeats*s.Beat+adoptionSlack), pool.WithShadow(d.shadow))
 	d.streams = pool.NewClient(d.clock, d.log, d.node, d.dialer, notices, d.owner, d.meter.Books)
--- a/src/step/driver.go
+++ b/src/step/driver.go
@@ -32,11 +32,14 @@
 	unprovenSamples = pool.QuarantineAfter
 	batchSize       = 64
 	batchDelay      = 100 * time.Millisecond
-	claimTime       = 3 * time.Second
-	storeGrace      = 2 * time.Second
-	maxBacklog      = 8192
-	urgentShare     = 4
-	storeRetry      = time.Second
+	claimTime       = 1200 * time.Millisecond
+	// While the table is known to be down, claims and commits are only tried.
+	claimTry    = 300 * time.Millisecond
+	downMemory  = 4 * time.Second
+	storeGrace  = time.Second
+	maxBacklog  = 8192
+	urgentShare = 4
+	storeRetry  = time.Second
 )
 
 // Generator runs generations and judges them.
@@ -85,6 +88,10 @@
 	length    time.Duration
 	draining  atomic.Bool
 	running   atomic.Int64
+	// downSince and downAt are when the table was first and last found out of
+	// reach, in nanoseconds; zero if it answered since.
+	downSince atomic.Int64
+	downAt    atomic.Int64
 
 	mu   sync.Mutex
 	left []*leftover
@@ -101,6 +108,27 @@
 // Running counts the steps that this daemon drives.
 func (m *Manager) Running() int64 { return m.running.Load() }
 
+// noteTable remembers whether the table answered, for all steps of this daemon.
+func (m *Manager) noteTable(answered bool) {
+	now := m.clock.Now().UnixNano()
+	if answered {
+		m.downSince.Store(0)
+		m.downAt.Store(0)
+		return
+	}
+	m.downSince.CompareAndSwap(0, now)
+	m.downAt.Store(now)
+}
+
+// tableDown tells whether the table was out of reach a moment ago, and since when.
+func (m *Manager) tableDown() (since time.Time, down bool) {
+	at := m.downAt.Load()
+	if at == 0 || m.clock.Now().Sub(time.Unix(0, at)) > downMemory {
+		return time.Time{}, false
+	}
+	return time.Unix(0, m.downSince.Load()), true
+}
+
 // finished is a sample's end.
 type finished struct {
 	identity Identity
@@ -235,11 +263,17 @@
 // recover claims the step and delivers what earlier drivers committed. While
 // the table is out of reach the trainer's own list is all there is.
 func (d *driver) recover(ctx context.Context) error {
-	claiming, cancel := context.WithTimeout(ctx, claimTime)
+	limit := claimTime
+	if since, down := d.m.tableDown(); down {
+		limit = claimTry
+		d.failing = since
+	}
+	claiming, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for attempt := 0; ; attempt++ {
 		err := d.recoverOnce(claiming)
 		if err == nil {
+			d.m.noteTable(true)
 			return nil
 		}
 		kind := sesamepitch.KindOf(err)
@@ -252,6 +286,7 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
+			d.m.noteTable(false)
 			d.m.log.Info("step driven without the table", "trainer", d.trainer.Name, "step", d.open.Spec.Step, "cause", err.Error())
 			return nil
 		}
@@ -508,6 +543,7 @@
 		if err != nil {
 			return d.storeFailed(ctx, err)
 		}
+		d.m.noteTable(true)
 		d.failing = time.Time{}
 		d.backlog = d.backlog[1:]
 		if err := d.deliver(e, true); err != nil {
@@ -537,6 +573,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	d.m.noteTable(false)
 	now := d.m.clock.Now()
 	if d.failing.IsZero() {
 		d.failing = now
--- a/src/usage/meter.go
+++ b/src/usage/meter.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	flushEvery     = time.Second
+	minFlush       = time.Second
+	flushPerDaemon = 15 * time.Millisecond
 	windowAttempts = 4
 	keptWindows    = 16
 )
@@ -35,6 +36,7 @@
 	table  sesamepitch.Table
 	name   string
 	length time.Duration
+	pace   Pace
 
 	mu      sync.Mutex
 	run     string
@@ -49,10 +51,20 @@
 	version  int64
 }
 
+// Pace is the time between a daemon's flushes.
+type Pace func() time.Duration
+
+// PaceFor keeps the flushes of all daemons together within the table's rate.
+func PaceFor(daemons func() int) Pace {
+	return func() time.Duration {
+		return max(minFlush, time.Duration(daemons())*flushPerDaemon)
+	}
+}
+
 // NewMeter returns the meter of one run of a daemon; run must be used by no
 // other process.
-func NewMeter(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, run string, length time.Duration) *Meter {
-	return &Meter{clock: clock, log: log, table: table, name: run, run: run, length: length, pending: Figures{}, sums: map[string]Figures{}}
+func NewMeter(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, run string, length time.Duration, pace Pace) *Meter {
+	return &Meter{pace: pace, clock: clock, log: log, table: table, name: run, run: run, length: length, pending: Figures{}, sums: map[string]Figures{}}
 }
 
 // Record counts one use.
@@ -75,11 +87,22 @@
 func (m *Meter) Workers() []supervisor.Worker {
 	return []supervisor.Worker{
 		supervisor.NewWorker("usage-flush", func(ctx context.Context) error {
-			return supervisor.Every(ctx, m.clock, flushEvery, func(ctx context.Context) { _ = m.Flush(ctx) })
+			return m.keepFlushing(ctx)
 		}),
 	}
 }
 
+func (m *Meter) keepFlushing(ctx context.Context) error {
+	for {
+		_ = m.Flush(ctx)
+		select {
+		case <-m.clock.After(m.pace()):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // batch is a part of the records on its way to the table. After a lost answer
 // it is sent again as it is, so that the table shows whether it has arrived.
 type batch struct {
--- a/src/usage/shadow.go
+++ b/src/usage/shadow.go
@@ -18,10 +18,10 @@
 const (
 	shadowCheck = time.Second
 	shadowQuiet = 1200 * time.Millisecond
-	// sealAfter is how long a quiet daemon's flushes must stand still, while the
-	// table answers, before another daemon counts its records for it. The seal
-	// keeps a daemon that lives after all from counting them, too.
-	sealAfter = 2 * flushEvery
+	// sealAfter is for how many flushes a quiet daemon's books must stand still,
+	// while the table answers, before another daemon counts its records for it.
+	// The seal keeps a daemon that lives after all from counting them, too.
+	sealAfter = 2
 )
 
 // shadowRecord is one use that another daemon has numbered.
@@ -48,6 +48,7 @@
 	table  sesamepitch.Table
 	run    string
 	length time.Duration
+	pace   Pace
 	gone   func(ctx context.Context, run string) bool
 
 	mu      sync.Mutex
@@ -56,8 +57,8 @@
 
 // NewShadow returns the keeper at one run of a daemon; gone tells whether a run
 // is known to have ended.
-func NewShadow(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, run string, length time.Duration, gone func(ctx context.Context, run string) bool) *Shadow {
-	return &Shadow{clock: clock, log: log, table: table, run: run, length: length, gone: gone, entries: map[string]*entryShadow{}}
+func NewShadow(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, run string, length time.Duration, pace Pace, gone func(ctx context.Context, run string) bool) *Shadow {
+	return &Shadow{clock: clock, log: log, table: table, run: run, length: length, pace: pace, gone: gone, entries: map[string]*entryShadow{}}
 }
 
 // RunName names one run of a daemon in the usage rows.
@@ -126,7 +127,7 @@
 			continue
 		}
 		waited := s.standsStill(run, row.Record)
-		if waited >= sealAfter || (waited >= 0 && s.gone(ctx, run)) {
+		if waited >= sealAfter*s.pace() || (waited >= 0 && s.gone(ctx, run)) {
 			s.count(ctx, run, row.Record, version)
 		}
 	}
