--- a/src/centre/leader.go
+++ b/src/centre/leader.go
@@ -2,15 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"net"
 	"reflect"
 	"sort"
-	"syscall"
 	"time"
-
-	"sesamepitch/src/document"
 )
 
 const (
@@ -80,47 +74,6 @@
 	n.log.Info("leader leads", "centre", n.settings.Centre, "epoch", epoch.Table, "rank", epoch.Rank)
 }
 
-// earlierMembers lists who may hold cells from the leader before: the members
-// in its lease's note and those in the last view seen here.
-func (n *Node) earlierMembers() map[string]Member {
-	earlier := map[string]Member{}
-	var noted []Member
-	_ = json.Unmarshal([]byte(n.lease.Previous().Note), &noted)
-	if n.view != nil {
-		noted = append(noted, n.view.Members...)
-	}
-	for _, member := range noted {
-		if member != n.settings.Self {
-			earlier[member.ID+"@"+member.Incarnation] = member
-		}
-	}
-	for key, member := range earlier {
-		if member.ID == n.settings.Self.ID {
-			// An earlier run of this instance: its process is gone.
-			delete(earlier, key)
-		}
-	}
-	return earlier
-}
-
-// accountFor takes a member, and earlier runs of its instance, off the list of
-// those that may hold cells unheard.
-func (l *leadership) accountFor(member Member) {
-	for key, earlier := range l.earlier {
-		if earlier.ID == member.ID {
-			delete(l.earlier, key)
-		}
-	}
-}
-
-// noteMembers leaves the members' list to the next leader.
-func (n *Node) noteMembers() {
-	encoded, err := json.Marshal(n.liveMembers())
-	if err == nil {
-		n.lease.SetNote(string(encoded))
-	}
-}
-
 // keepBooks is a leader's tick: it looks after silent members and gives cells
 // to owners.
 func (n *Node) keepBooks(ctx context.Context) {
@@ -159,62 +112,6 @@
 	return max(n.settings.Beat, time.Duration(len(n.lead.members))*beatPerMember)
 }
 
-// silentMembers lists the members that missed two heartbeats.
-func (n *Node) silentMembers() []Member {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.lead == nil {
-		return nil
-	}
-	var silent []Member
-	now := n.clock.Now()
-	for _, state := range n.lead.members {
-		state.silent = state.member.ID != n.settings.Self.ID && now.Sub(state.heardAt) > 2*n.beatInterval()+n.callTime()/2
-		if state.silent {
-			silent = append(silent, state.member)
-		}
-	}
-	return silent
-}
-
-// unaccounted lists members of the leader before that are still to be heard of.
-func (n *Node) unaccounted() []Member {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.lead == nil {
-		return nil
-	}
-	var members []Member
-	for _, member := range n.lead.earlier {
-		members = append(members, member)
-	}
-	return members
-}
-
-// probe dials a silent member. A refused connection means that its process is
-// gone, so its lease need not be waited out.
-func (n *Node) probe(ctx context.Context, member Member) {
-	dialer := net.Dialer{Timeout: probeTime}
-	conn, err := dialer.DialContext(ctx, "tcp", member.Address)
-	if err == nil {
-		_ = conn.Close()
-		return
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.lead == nil {
-		return
-	}
-	n.lead.accountFor(member)
-	if state := n.lead.members[member.ID]; state != nil && state.member == member {
-		n.log.Info("member removed", "member", member.ID, "reason", "connection refused")
-		n.removeMember(member)
-	}
-}
-
 // forgetMembers removes members whose lease has lapsed.
 func (n *Node) forgetMembers(now time.Time) {
 	for _, state := range n.lead.members {
@@ -248,86 +145,6 @@
 	return members
 }
 
-// settled tells whether every grant of earlier leaders has lapsed or has been
-// claimed by its member's heartbeat. A short wait lets members report that the
-// leader before took in while it could not note them.
-func (n *Node) settled(now time.Time) bool {
-	age := now.Sub(n.lead.since)
-	if n.lead.epoch == (Epoch{Table: 1}) || age > n.settings.CellLease+n.settings.Lease.Margin {
-		return true
-	}
-	if age <= reportBeats*n.settings.Beat+n.callTime() {
-		return false
-	}
-	// A caretaker has waited until the grants of the leader before had lapsed.
-	return n.role == caretaker || len(n.lead.earlier) == 0
-}
-
-// assign moves each cell towards its owner by rendezvous hash. A cell whose
-// last owner may still use it waits.
-func (n *Node) assign(now time.Time) {
-	members := n.liveMembers()
-	wanted := map[CellID]bool{}
-	for _, cell := range n.cells() {
-		wanted[cell.ID] = true
-		held := n.lead.cells[cell.ID]
-		if held == nil {
-			held = &tenure{}
-			n.lead.cells[cell.ID] = held
-		}
-		n.assignCell(now, cell.ID, held, members)
-	}
-	for id := range n.lead.cells {
-		if !wanted[id] {
-			delete(n.lead.cells, id)
-		}
-	}
-}
-
-// cells lists the data centre's cells without owners; it needs n.mu. They are
-// divided anew only when the document has changed.
-func (n *Node) cells() []Cell {
-	config := n.holder.Current()
-	if n.divided.version != config.Version() {
-		n.divided = division{version: config.Version(), cells: cellsOf(config, n.settings.Centre)}
-	}
-	return n.divided.cells
-}
-
-func (n *Node) assignCell(now time.Time, id CellID, held *tenure, members []Member) {
-	if held.moving && n.released(now, held) {
-		held.moving = false
-	}
-	target, found := ownerOf(id, members)
-	if !found || held.moving || held.owner == target {
-		return
-	}
-	if held.owner.ID != "" {
-		if !n.settled(now) {
-			return
-		}
-		held.moving, held.last, held.lastView = true, held.owner, n.lead.version+1
-		held.owner = Member{}
-		n.lead.moved = true
-		n.log.Info("cell moves", "pool", id.Pool, "cell", id.Index, "from", held.last.ID, "to", target.ID, "reason", "rendezvous")
-		return
-	}
-	if !n.settled(now) {
-		return
-	}
-	held.owner = target
-	n.log.Info("cell owned", "pool", id.Pool, "cell", id.Index, "owner", target.ID)
-}
-
-// released tells whether a moving cell's last owner has stopped using it.
-func (n *Node) released(now time.Time, held *tenure) bool {
-	state := n.lead.members[held.last.ID]
-	if state == nil || state.member != held.last {
-		return true
-	}
-	return state.view >= held.lastView || now.After(state.till)
-}
-
 // rebuildView gives the view a new version if anything in it changed.
 func (n *Node) rebuildView() {
 	next := &View{Epoch: n.lead.epoch, Leader: n.settings.Self, Members: n.liveMembers(), Leaving: n.lead.leaving, Remotes: n.lead.remotes, Uncertain: n.uncertain(), Warm: n.warmEndpoints(), FirstOwners: n.firstOwners()}
@@ -384,43 +201,6 @@
 	return false
 }
 
-// firstOwners tells whether this is the data centre's first leader, under
-// which no cell has moved yet.
-func (n *Node) firstOwners() bool {
-	return n.lead.epoch == Epoch{Table: 1} && !n.lead.moved
-}
-
-// uncertain tells whether another leader could exist: the lease has lapsed
-// because the table is out of reach, and a member is silent but not gone.
-func (n *Node) uncertain() bool {
-	if _, _, held := n.lease.Held(); held {
-		return false
-	}
-	if n.role == caretaker && len(n.lead.earlier) > 0 {
-		return true
-	}
-	for _, state := range n.lead.members {
-		if state.silent {
-			return true
-		}
-	}
-	return false
-}
-
-// claim takes over a cell that a member holds from an earlier leader.
-func (n *Node) claim(member Member, ids []CellID) {
-	for _, id := range ids {
-		held := n.lead.cells[id]
-		if held == nil {
-			n.lead.cells[id] = &tenure{owner: member}
-			continue
-		}
-		if held.owner.ID == "" && !held.moving && !n.settled(n.clock.Now()) {
-			held.owner = member
-		}
-	}
-}
-
 // hear keeps the books on one heartbeat. It returns false if this daemon does
 // not lead.
 func (n *Node) hear(args BeatArgs, reply *BeatReply) bool {
@@ -505,88 +285,3 @@
 	}
 	return stale
 }
-
-// Service is the node's net/rpc face.
-type Service struct{ node *Node }
-
-// Beat answers a member's heartbeat.
-func (s *Service) Beat(args BeatArgs, reply *BeatReply) error {
-	n := s.node
-	if !n.hear(args, reply) {
-		return nil
-	}
-	reply.Accepted = true
-	n.notices.Add(args.Member.Address, args.Notices...)
-	n.learnFrom(args)
-	reply.Notices, reply.Read = n.noticesFor(args.Read, args.Member.Address)
-	reply.Config = n.holder.Current().Version()
-	if args.Config < reply.Config {
-		reply.Deltas = n.deltasAfter(args.Config)
-	}
-	return nil
-}
-
-// learnFrom takes over what a member knows and this leader does not, as after
-// the leader's own restart while the table is out of reach.
-func (n *Node) learnFrom(args BeatArgs) {
-	if args.Config > n.holder.Current().Version() {
-		n.takeDocument(args.Member.Address)
-	}
-	if args.Age < 0 || args.Config > n.holder.Current().Version() {
-		return
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.freshenLocked(n.clock.Now().Add(-args.Age - n.callTime()))
-}
-
-// takeDocument takes the document over from a member that has a newer one, as
-// after the leader's own restart while the table is out of reach.
-func (n *Node) takeDocument(address string) {
-	calling, cancel := context.WithTimeout(context.Background(), n.callTime())
-	defer cancel()
-	var whole DocumentReply
-	if err := n.dialer.Call(calling, address, "Centre.Document", DocumentArgs{}, &whole); err != nil {
-		return
-	}
-	n.advance(document.NewConfig(whole.Version, whole.Document), nil)
-}
-
-// Document answers with the whole document.
-func (s *Service) Document(_ DocumentArgs, reply *DocumentReply) error {
-	current := s.node.holder.Current()
-	reply.Version, reply.Document = current.Version(), current.Document()
-	return nil
-}
-
-// Cells answers with a pool's cells.
-func (s *Service) Cells(args CellsArgs, reply *CellsReply) error {
-	view := s.node.View()
-	if view == nil {
-		return nil
-	}
-	for _, cell := range view.Cells {
-		if cell.ID.Pool == args.Pool {
-			reply.Cells = append(reply.Cells, cell)
-		}
-	}
-	return nil
-}
-
-// Nudge makes this daemon send its heartbeat now.
-func (s *Service) Nudge(NudgeArgs, *NudgeReply) error {
-	wake(s.node.nudge)
-	return nil
-}
-
-// Ping says who answers here.
-func (s *Service) Ping(_ PingArgs, reply *PingReply) error {
-	reply.Member = s.node.settings.Self
-	return nil
-}
-
-// document whole for other data centres' leaders.
-func (n *Node) wholeDocument() *document.Document {
-	d := n.holder.Current().Document()
-	return &d
-}
--- /dev/null
+++ b/src/pool/renew.go
@@ -0,0 +1,87 @@
+package pool
+
+import (
+	"context"
+
+	"sesamepitch/src/centre"
+)
+
+// renew keeps the streams granted. Where a cell has a new owner, that one is
+// told of the streams.
+func (c *Client) renew(ctx context.Context) {
+	byOwner := map[string]map[centre.CellID][]Held{}
+	c.mu.Lock()
+	for _, s := range c.streams {
+		s.owner = c.ownerNow(s)
+		if byOwner[s.owner] == nil {
+			byOwner[s.owner] = map[centre.CellID][]Held{}
+		}
+		held := Held{ID: s.id, Endpoint: s.endpoint, Workspace: s.ask.Workspace, Fingerprint: s.ask.Fingerprint, Suspect: s.ask.Suspect}
+		byOwner[s.owner][s.cell] = append(byOwner[s.owner][s.cell], held)
+	}
+	c.mu.Unlock()
+	done := make(chan struct{}, len(byOwner))
+	for owner, cells := range byOwner {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for id, held := range cells {
+				c.renewCell(ctx, owner, id, held)
+			}
+		}()
+	}
+	for range byOwner {
+		<-done
+	}
+}
+
+// ownerNow is the owner of a stream's cell as this daemon knows it now.
+func (c *Client) ownerNow(s *Stream) string {
+	var cells []centre.Cell
+	if s.centre == c.dir.Centre() {
+		if view := c.dir.View(); view != nil {
+			cells = view.Cells
+		}
+	} else {
+		for _, cached := range c.remote {
+			cells = append(cells, cached.cells...)
+		}
+	}
+	for _, cell := range cells {
+		if cell.ID == s.cell && cell.Address != "" && contains(cell.Endpoints, s.endpoint) {
+			return cell.Address
+		}
+	}
+	return s.owner
+}
+
+func contains(names []string, wanted string) bool {
+	for _, name := range names {
+		if name == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Client) renewCell(ctx context.Context, owner string, id centre.CellID, held []Held) {
+	self := c.dir.Self()
+	renewal := Renewal{Entry: self.Address, Run: self.Incarnation, Cell: id, Held: held, Books: c.books()}
+	var reply RenewalReply
+	if owner == self.Address {
+		reply = c.local.Renew(renewal)
+	} else {
+		calling, cancel := context.WithTimeout(ctx, answerTime)
+		defer cancel()
+		if err := c.dialer.Call(calling, owner, "Pool.Renew", renewal, &reply); err != nil {
+			return
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range reply.Revoked {
+		if s := c.streams[id]; s != nil {
+			c.log.Info("stream revoked", "request", id, "endpoint", s.endpoint, "reason", "endpoint turned cold")
+			s.cancel()
+		}
+	}
+}
