Innocent contents are cleared and not quarantined for engines that fail anyway

Ruled out: one crash counted twice (the events were of two engines). Failing first: TestInnocentContentIsNotQuarantined. Change: a whole answer clears a content; a crash counts only if the endpoint had shown life since it last failed, or for every third time; unproven contents keep off endpoints that have not; the entry notes a crash at once, under the owner's name for it, so that another data centre is not asked next.

--- a/src/notice/notice.go
+++ b/src/notice/notice.go
@@ -25,6 +25,9 @@
 	Centre Kind = "centre"
 	// Crash names a content's fingerprint and one endpoint that it crashed.
 	Crash Kind = "crash"
+	// Cleared names a content that was answered whole after it was suspected;
+	// crashes before do not count.
+	Cleared Kind = "cleared"
 	// Version names a model; its value is the weights' object, its Seq the version.
 	Version Kind = "version"
 )
@@ -71,15 +74,15 @@
 	clock sesamepitch.Clock
 	mu    sync.RWMutex
 	held  map[string]Notice
-	// crashes holds the times of crash events by fingerprint.
-	crashes map[string][]time.Time
+	// crashes holds the times of crash events by fingerprint and event.
+	crashes map[string]map[string]time.Time
 	log     []logged
 	watch   []chan struct{}
 }
 
 // NewSet returns an empty set.
 func NewSet(clock sesamepitch.Clock) *Set {
-	return &Set{id: uuid.NewString()[:shortID], clock: clock, held: map[string]Notice{}, crashes: map[string][]time.Time{}}
+	return &Set{id: uuid.NewString()[:shortID], clock: clock, held: map[string]Notice{}, crashes: map[string]map[string]time.Time{}}
 }
 
 // ID tells this process's log from that of any other.
@@ -127,8 +130,11 @@
 	if n.Kind != Crash {
 		return
 	}
-	fingerprint, _, _ := strings.Cut(n.Name, "/")
-	s.crashes[fingerprint] = append(s.crashes[fingerprint], n.At)
+	fingerprint, event, _ := strings.Cut(n.Name, "/")
+	if s.crashes[fingerprint] == nil {
+		s.crashes[fingerprint] = map[string]time.Time{}
+	}
+	s.crashes[fingerprint][event] = n.At
 }
 
 func (s *Set) wake() {
@@ -196,18 +202,26 @@
 	return Notice{Kind: Crash, Name: fingerprint + "/" + event, Seq: 1, Origin: origin, At: s.clock.Now()}
 }
 
+// NewCleared returns the notice that a content was answered whole.
+func (s *Set) NewCleared(fingerprint, origin string) Notice {
+	now := s.clock.Now()
+	return Notice{Kind: Cleared, Name: fingerprint, Seq: now.UnixNano(), Origin: origin, At: now}
+}
+
 // NewVersion returns the notice that a weight version is published.
 func (s *Set) NewVersion(model string, version int64, object, origin string) Notice {
 	return Notice{Kind: Version, Name: model, Seq: version, Origin: origin, Value: object, At: s.clock.Now()}
 }
 
-// Crashes counts the recent crash events of a content.
+// Crashes counts the recent crash events of a content since it was last
+// answered whole.
 func (s *Set) Crashes(fingerprint string) int {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	count := 0
+	cleared := s.held[string(Cleared)+"/"+fingerprint].At
 	for _, at := range s.crashes[fingerprint] {
-		if s.clock.Now().Sub(at) < crashMemory {
+		if at.After(cleared) && s.clock.Now().Sub(at) < crashMemory {
 			count++
 		}
 	}
--- a/src/notice/notice_test.go
+++ b/src/notice/notice_test.go
@@ -61,4 +61,12 @@
 	assert.Equal(t, set.Crashes("content"), 2, "two streams of one crash are one event")
 	clock.Advance(11 * time.Minute)
 	assert.Equal(t, set.Crashes("content"), 0)
+	set.Add("", set.NewCrash("content", "engine/9", "d1"))
+	assert.Equal(t, set.Crashes("content"), 1)
+	clock.Advance(time.Second)
+	set.Add("", set.NewCleared("content", "d1"))
+	assert.Equal(t, set.Crashes("content"), 0, "a whole answer clears it")
+	clock.Advance(time.Second)
+	set.Add("", set.NewCrash("content", "engine/10", "d1"))
+	assert.Equal(t, set.Crashes("content"), 1)
 }
--- a/src/placement/placement.go
+++ b/src/placement/placement.go
@@ -21,6 +21,8 @@
 	Slowness float64
 	// Cached tells whether the request's prefix was served there lately.
 	Cached bool
+	// Failing endpoints broke a stream off and have shown no life since.
+	Failing bool
 	// Suspects counts running requests whose content has crashed an endpoint.
 	Suspects int
 }
@@ -36,6 +38,9 @@
 	Urgent bool
 	// Suspect requests never share an endpoint with each other.
 	Suspect bool
+	// Unproven requests keep off endpoints that have shown no life since they
+	// last failed.
+	Unproven bool
 	// Reserve is how many streams of each endpoint are kept for interactive work.
 	Reserve int
 	// Only names the endpoints that the request may use; any if empty.
@@ -68,11 +73,15 @@
 func Choose(request Request, candidates []Candidate) (Decision, bool) {
 	best, bestScore, found := Candidate{}, 0.0, false
 	var passed []string
-	spare := hasFast(candidates)
+	spare, sound := hasFast(candidates), hasSound(candidates)
 	for _, c := range candidates {
 		reason := unfit(request, c)
-		if reason == "" && spare && tooSlow(request, c) {
+		switch {
+		case reason != "":
+		case spare && tooSlow(request, c):
 			reason = "slow"
+		case sound && request.Unproven && c.Failing:
+			reason = "failing"
 		}
 		if reason != "" {
 			passed = append(passed, c.Name+":"+reason)
@@ -94,6 +103,17 @@
 	return Decision{Endpoint: best.Name, Reason: reason, Passed: strings.Join(passed, ",")}, true
 }
 
+// hasSound tells whether an endpoint works that has shown life since it last
+// failed; only there a crash says something of the content.
+func hasSound(candidates []Candidate) bool {
+	for _, c := range candidates {
+		if !c.Leaving && !c.Broken && !c.Failing {
+			return true
+		}
+	}
+	return false
+}
+
 // hasFast tells whether an endpoint that works is not slow.
 func hasFast(candidates []Candidate) bool {
 	for _, c := range candidates {
--- a/src/placement/placement_test.go
+++ b/src/placement/placement_test.go
@@ -35,6 +35,8 @@
 		{"unknown version is tried", placement.Request{MinVersion: 6}, []placement.Candidate{with(plain("a", 0), func(c *placement.Candidate) { c.Version = 0 })}, "a", ""},
 		{"avoided", placement.Request{Avoid: []string{"a"}}, []placement.Candidate{plain("a", 0), plain("b", 7)}, "b", "a:avoided"},
 		{"suspects stay apart", placement.Request{Suspect: true}, []placement.Candidate{with(plain("a", 0), func(c *placement.Candidate) { c.Suspects = 1 }), plain("b", 7)}, "b", "a:suspect"},
+		{"unproven contents keep off failing endpoints", placement.Request{Unproven: true}, []placement.Candidate{with(plain("a", 0), func(c *placement.Candidate) { c.Failing = true }), plain("b", 8)}, "", "a:failing,b:full"},
+		{"unproven contents go where all fail", placement.Request{Unproven: true}, []placement.Candidate{with(plain("a", 0), func(c *placement.Candidate) { c.Failing = true })}, "a", ""},
 		{"unproven content stays on its endpoint", placement.Request{Only: []string{"b"}}, []placement.Candidate{plain("a", 0), plain("b", 7)}, "b", "a:unproven"},
 		{"cheap for work that can be redone", placement.Request{}, []placement.Candidate{plain("a", 0), with(plain("b", 0), func(c *placement.Candidate) { c.Reclaimable = true })}, "b", ""},
 		{"not cheap for members", placement.Request{Interactive: true}, []placement.Candidate{plain("a", 7), with(plain("b", 0), func(c *placement.Candidate) { c.Reclaimable = true })}, "a", ""},
--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -40,6 +40,8 @@
 	renewed time.Time
 	revoked bool
 	life    int
+	// healthy tells whether the endpoint had shown life since its last failure.
+	healthy bool
 }
 
 // endpointState is what the owner knows of one endpoint.
@@ -57,6 +59,9 @@
 	// distrust is until when the endpoint's word on its version is ignored,
 	// after its chunks have shown an older one.
 	distrust time.Time
+	// failedAt is when a stream last failed, aliveAt when a whole answer or a
+	// report last showed that the endpoint lives.
+	failedAt, aliveAt time.Time
 	// idleSince is when the last stream ended; zero while there are any.
 	idleSince time.Time
 	// probation is set after a pause, in which the endpoint may have started
@@ -149,7 +154,7 @@
 		candidate := placement.Candidate{
 			Name: name, Running: state.running, Limit: state.limit(view.Uncertain), Version: state.version,
 			Reclaimable: state.config.Reclaimable, Leaving: view.IsLeaving(name),
-			Broken: now.Before(state.brokenTo), Cached: state.knows(prefix), Suspects: state.suspects, Slowness: 1,
+			Broken: now.Before(state.brokenTo), Cached: state.knows(prefix), Suspects: state.suspects, Failing: !state.isSound(), Slowness: 1,
 		}
 		if state.fails >= breakAfter && state.running > 0 {
 			// Half open: one stream at a time shows whether it is back.
@@ -181,6 +186,11 @@
 	}
 }
 
+// isSound tells whether the endpoint has shown life since its last failure.
+func (e *endpointState) isSound() bool {
+	return e.failedAt.IsZero() || e.aliveAt.After(e.failedAt)
+}
+
 func (e *endpointState) knows(prefix string) bool {
 	for _, known := range e.prefixes {
 		if known == prefix && prefix != "" {
@@ -226,7 +236,7 @@
 func (c *cell) placementRequest(now time.Time, r Request) placement.Request {
 	return placement.Request{
 		MinVersion: r.MinVersion, Avoid: r.Avoid, Interactive: r.Interactive,
-		Urgent: r.Urgent, Suspect: r.Suspect, Reserve: c.reserve(now), Only: c.contents.only(r.Fingerprint, r.Crashes),
+		Urgent: r.Urgent, Suspect: r.Suspect, Unproven: r.Fingerprint != "" && !c.contents.isProven(r.Fingerprint), Reserve: c.reserve(now), Only: c.contents.only(r.Fingerprint, r.Crashes),
 	}
 }
 
@@ -316,7 +326,7 @@
 	c.contents.sent(r.Fingerprint, endpoint, now)
 	c.grants[r.ID] = &grant{
 		held:  Held{ID: r.ID, Endpoint: endpoint, Workspace: r.Workspace, Fingerprint: r.Fingerprint, Suspect: r.Suspect},
-		entry: r.Entry, run: r.Run, weight: r.Weight, tokens: r.Tokens, renewed: now, life: state.life,
+		entry: r.Entry, run: r.Run, weight: r.Weight, tokens: r.Tokens, renewed: now, life: state.life, healthy: state.isSound(),
 	}
 }
 
@@ -391,6 +401,7 @@
 	switch r.Outcome {
 	case Whole:
 		state.fails = 0
+		state.aliveAt = now
 		if state.slowedDown(r.TokenTime) {
 			c.cool(r.Endpoint)
 			return
@@ -409,6 +420,7 @@
 		state.distrust = now.Add(distrustTime)
 	case Refused, Crashed:
 		state.fails++
+		state.failedAt = now
 		state.ramp.Cool()
 		state.prefixes = nil
 		state.brokenTo = now.Add(min(breakBase<<min(state.fails-1, 6), breakMax))
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -79,6 +80,7 @@
 	endpoint string
 	address  string
 	reason   string
+	event    string
 	ctx      context.Context
 	cancel   context.CancelFunc
 }
@@ -116,6 +118,8 @@
 	mine map[string]int
 }
 
+var errCrashes = errors.New("content crashed endpoints")
+
 // NewClient returns a client; local is this daemon's own owner, books tells how
 // far this daemon's usage is safe.
 func NewClient(clock sesamepitch.Clock, log logr.Logger, dir Directory, dialer *peer.Dialer, notices *notice.Set, local *Owner, books func() Books) *Client {
@@ -147,6 +151,9 @@
 		if err := ctx.Err(); err != nil {
 			return nil, &Error{Op: "pool.acquire", Kind: sesamepitch.KindTimeout, Err: fmt.Errorf("%s (%s)", last.State, last.Reason)}
 		}
+		if c.notices.Crashes(ask.Fingerprint) >= QuarantineAfter {
+			return nil, &Error{Op: "pool.acquire", Kind: sesamepitch.KindQuarantined, Err: errCrashes}
+		}
 		options := c.options(ctx, ask)
 		waited := c.clock.Now().Sub(started)
 		stream, reply := c.takeFree(ctx, ask, options, waited)
@@ -196,7 +203,7 @@
 	c.countMine(o.key(), ask.Workspace, 1)
 	stream := &Stream{
 		id: request.ID, ask: ask, cell: o.cell.ID, cellKey: o.key(), centre: o.centre, owner: o.cell.Address,
-		endpoint: reply.Endpoint, address: reply.Address, reason: reply.Reason,
+		endpoint: reply.Endpoint, address: reply.Address, reason: reply.Reason, event: reply.Event,
 	}
 	stream.ctx, stream.cancel = context.WithCancel(ask.ctx)
 	c.mu.Lock()
@@ -249,6 +256,10 @@
 	r.ID, r.Entry, r.Run, r.Cell = s.id, self.Address, self.Incarnation, s.cell
 	r.Endpoint, r.Workspace, r.Fingerprint = s.endpoint, s.ask.Workspace, s.ask.Fingerprint
 	r.Books = c.books()
+	if r.Outcome == Crashed && s.event != "" && s.ask.Fingerprint != "" {
+		// Known here at once, whichever data centre's owner hears of it.
+		c.notices.Add("", c.notices.NewCrash(s.ask.Fingerprint, s.event, self.Address))
+	}
 	if !c.send(s.owner, r) && r.Billed {
 		c.keepElsewhere(r)
 	}
--- a/src/pool/content.go
+++ b/src/pool/content.go
@@ -5,7 +5,10 @@
 	"time"
 )
 
-const maxContents = 8192
+const (
+	maxContents = 8192
+	weakCrashes = 3
+)
 
 // content is what the owner knows of one prompt. Until it has been answered
 // whole once, it runs on no more endpoints at a time than it may crash before it
@@ -13,7 +16,9 @@
 type content struct {
 	proven  bool
 	running map[string]int
-	usedAt  time.Time
+	// weak counts crashes on endpoints that had failed already.
+	weak   int
+	usedAt time.Time
 }
 
 // contents are the prompts seen lately, by fingerprint.
@@ -73,6 +78,17 @@
 	}
 }
 
+// weakEvidence notes a crash on an endpoint that had failed before and answered
+// nothing since, which says little of the content. Every third one counts.
+func (c *contents) weakEvidence(fingerprint string) (counts bool) {
+	known := c.known[fingerprint]
+	if known == nil {
+		return false
+	}
+	known.weak++
+	return known.weak%weakCrashes == 0
+}
+
 // makeRoom forgets the content that was used longest ago.
 func (c *contents) makeRoom() {
 	if len(c.known) < maxContents {
--- a/src/pool/owner.go
+++ b/src/pool/owner.go
@@ -188,12 +188,17 @@
 	for _, p := range state.dispatch(o.clock.Now(), o.node.View()) {
 		endpoint := state.endpoints[p.decision.Endpoint]
 		r := p.waiter.request
+		event := ""
+		suspected := endpoint.suspects == 0 || r.Suspect
+		if g := state.grants[r.ID]; suspected && g.healthy && !state.contents.isProven(r.Fingerprint) {
+			event = state.crashEvent(g)
+		}
 		o.log.Info("placement", "request", r.ID, "workspace", r.Workspace, "pool", state.id.Pool,
 			"endpoint", p.decision.Endpoint, "reason", p.decision.Reason, "passed", p.decision.Passed, "queued", state.queue.Len())
 		p.waiter.reply <- Reply{
 			State: Granted, Endpoint: p.decision.Endpoint, Address: endpoint.config.Address,
 			Reason: p.decision.Reason, Passed: p.decision.Passed, Queued: state.queue.Len(),
-			Free: state.free(o.clock.Now(), o.node.View()), Capacity: state.capacity(o.node.View()),
+			Free: state.free(o.clock.Now(), o.node.View()), Capacity: state.capacity(o.node.View()), Event: event,
 		}
 	}
 }
@@ -283,7 +288,7 @@
 	case Crashed:
 		o.noteCrash(state, r)
 	case Whole:
-		state.contents.prove(r.Fingerprint)
+		o.clear(state, r.Fingerprint)
 	}
 	if g, found := state.drop(o.clock.Now(), r.ID); found {
 		state.queue.Correct(g.held.Workspace, g.weight, r.Tokens-g.tokens)
@@ -295,6 +300,14 @@
 	o.dispatch(state)
 }
 
+// clear ends the suspicion of a content that was answered whole.
+func (o *Owner) clear(state *cell, fingerprint string) {
+	state.contents.prove(fingerprint)
+	if o.notices.Crashes(fingerprint) > 0 {
+		o.notices.Add("", o.notices.NewCleared(fingerprint, o.centre))
+	}
+}
+
 // Load tells how full a cell is.
 func (o *Owner) Load(id centre.CellID) Reply {
 	if o.notices.IsOut(o.centre) {
@@ -327,6 +340,9 @@
 	if r.Fingerprint == "" || state.contents.isProven(r.Fingerprint) || (endpoint.suspects > 0 && !g.held.Suspect) {
 		return
 	}
+	if !g.healthy && !state.contents.weakEvidence(r.Fingerprint) {
+		return
+	}
 	o.notices.Add("", o.notices.NewCrash(r.Fingerprint, state.crashEvent(g), r.Entry))
 	o.log.Info("content suspected", "fingerprint", r.Fingerprint, "endpoint", r.Endpoint, "request", r.ID, "crashes", o.notices.Crashes(r.Fingerprint))
 }
@@ -407,6 +423,7 @@
 		return
 	}
 	endpoint := state.endpoints[name]
+	endpoint.aliveAt = maxTime(endpoint.aliveAt, asked)
 	if load.Version > endpoint.version && !o.clock.Now().Before(endpoint.distrust) {
 		// A report may run ahead of the truth; the chunks correct it.
 		endpoint.version = load.Version
@@ -421,6 +438,13 @@
 	}
 }
 
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Queued lists the waiting and running streams by cell, for status.
 func (o *Owner) Queued() []CellStatus {
 	o.mu.Lock()
--- a/src/pool/owner_test.go
+++ b/src/pool/owner_test.go
@@ -144,6 +144,26 @@
 	assert.Equal(t, reply.State, pool.Granted)
 }
 
+// TestInnocentContentIsNotQuarantined lets both engines fail whatever they get.
+func TestInnocentContentIsNotQuarantined(t *testing.T) {
+	b := newBench()
+	innocent := func(r *pool.Request) { r.Fingerprint = "innocent" }
+	fail := func(fingerprint string) {
+		r, reply := b.acquire(func(r *pool.Request) { r.Fingerprint = fingerprint })
+		assert.Equal(t, reply.State, pool.Granted)
+		b.release(r, reply.Endpoint, pool.Crashed)
+		b.clock.Advance(10 * time.Second)
+	}
+	fail("one")
+	fail("two")
+	fail("innocent")
+	fail("innocent")
+	r, reply := b.acquire(innocent)
+	assert.Equal(t, reply.State, pool.Granted, "the engines had failed before")
+	b.release(r, reply.Endpoint, pool.Whole)
+	assert.Equal(t, b.notices.Crashes("innocent"), 0)
+}
+
 func TestRefusals(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/src/pool/wire.go
+++ b/src/pool/wire.go
@@ -64,6 +64,9 @@
 	Queued   int
 	Free     int
 	Capacity int
+	// Event names the crash that the endpoint's breaking off would be; empty if
+	// it would say nothing of the content.
+	Event string
 }
 
 // Outcome is how a stream ended.
