A restarted peer gets back the notices that it once sent

A log skips what came from a peer when it sends to that peer, and knew peers by their addresses: an instance that had sent a withdrawal and was restarted at the same address never got it back. Ruled out: the table's log (the row was there) and the order of merging. Failing first: TestRestartedPublisherKnowsItsWithdrawal (200 at d12). Change: peers are known by the set of notices of their run. The same held for a restarted leader, which is now sent everything again (second half of the test).

--- a/keys_test.go
+++ b/keys_test.go
@@ -250,3 +250,33 @@
 	}
 	assert.NilError(t, <-withdrawn)
 }
+
+// TestRestartedPublisherKnowsItsWithdrawal is P6 and P17: an instance through
+// which a key was withdrawn is restarted at the same address, and so is its
+// data centre's leader while the table is down.
+func TestRestartedPublisherKnowsItsWithdrawal(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	refused := func(d *daemonProcess, key string) {
+		t.Helper()
+		eventually(t, 15*time.Second, d.name+" is ready", func() bool { return get(d.callers, "/readyz") == http.StatusOK })
+		assert.Equal(t, complete(d.callers, c.key(key), 1).status, http.StatusUnauthorized, d.name)
+	}
+	leader := c.leaderOf("dc-1")
+	member := others(c.daemons[:2], leader)[0]
+	_, err := member.client().Withdraw(context.Background(), operator.Withdrawal{Name: "field-1"})
+	assert.NilError(t, err)
+	member.kill()
+	c.run(member)
+	refused(member, "field")
+	// Without the table, only the members can tell a restarted leader.
+	c.faults(standin.PlatformFaults{Down: true})
+	_, err = leader.client().Withdraw(context.Background(), operator.Withdrawal{Name: "coaching-1"})
+	assert.NilError(t, err)
+	eventually(t, withdrawBound, "the member has it", func() bool {
+		return complete(member.callers, c.key("coaching"), 1).status == http.StatusUnauthorized
+	})
+	leader.kill()
+	c.run(leader)
+	refused(leader, "coaching")
+}
--- a/src/centre/beat.go
+++ b/src/centre/beat.go
@@ -68,7 +68,7 @@
 func (n *Node) beatArgs(leaving bool) BeatArgs {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	args := BeatArgs{Member: n.settings.Self, Leaving: leaving, Epoch: n.epoch, Config: n.holder.Current().Version(), Read: n.read, Warm: n.warm, Age: -1}
+	args := BeatArgs{Member: n.settings.Self, Leaving: leaving, Epoch: n.epoch, Config: n.holder.Current().Version(), Set: n.notices.ID(), Read: n.read, Warm: n.warm, Age: -1}
 	if !n.freshAt.IsZero() {
 		args.Age = n.clock.Now().Sub(n.freshAt)
 	}
@@ -87,8 +87,9 @@
 // beat sends one heartbeat and tells whether a leader accepted it.
 func (n *Node) beat(ctx context.Context, address string) bool {
 	args := n.beatArgs(false)
+	leaderSet, index := n.sentBefore(address)
 	next := 0
-	args.Notices, next = n.notices.Since(n.sentBefore(address), address)
+	args.Notices, next = n.notices.Since(index, leaderSet)
 	sent := n.clock.Now()
 	calling, cancel := context.WithTimeout(ctx, n.callTime())
 	defer cancel()
@@ -106,13 +107,16 @@
 	return true
 }
 
-func (n *Node) sentBefore(address string) int {
+// sentBefore returns the notices' set of the leader at an address, as last seen,
+// and how far it has been sent this daemon's. A leader that was restarted has
+// another set and is sent everything.
+func (n *Node) sentBefore(address string) (set string, index int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.sentTo != address {
-		return 0
+		return "", 0
 	}
-	return n.sentIndex
+	return n.read.Set, n.sentIndex
 }
 
 func (n *Node) missed() {
@@ -139,7 +143,7 @@
 }
 
 func (n *Node) accepted(ctx context.Context, address string, args BeatArgs, reply BeatReply, sent time.Time, sentIndex int) {
-	n.notices.Add(address, reply.Notices...)
+	n.notices.Add(reply.Read.Set, reply.Notices...)
 	if !n.takeConfig(ctx, address, reply) {
 		return
 	}
@@ -155,6 +159,9 @@
 	n.leader = reply.Leader
 	n.lastBeat = n.clock.Now()
 	n.attemptAt = n.lastBeat
+	if n.sentTo == address && n.read.Set != "" && n.read.Set != reply.Read.Set {
+		sentIndex = 0
+	}
 	n.read = reply.Read
 	n.sentTo, n.sentIndex = address, sentIndex
 	n.interval = reply.Interval
--- a/src/centre/service.go
+++ b/src/centre/service.go
@@ -16,9 +16,9 @@
 		return nil
 	}
 	reply.Accepted = true
-	n.notices.Add(args.Member.Address, args.Notices...)
+	n.notices.Add(args.Set, args.Notices...)
 	n.learnFrom(args)
-	reply.Notices, reply.Read = n.noticesFor(args.Read, args.Member.Address)
+	reply.Notices, reply.Read = n.noticesFor(args.Read, args.Set)
 	reply.Config = n.holder.Current().Version()
 	if args.Config < reply.Config {
 		reply.Deltas = n.deltasAfter(args.Config)
--- a/src/centre/sync.go
+++ b/src/centre/sync.go
@@ -219,13 +219,14 @@
 	}
 }
 
-// noticesFor returns the notices that a peer has not read yet.
-func (n *Node) noticesFor(read NoticeState, address string) ([]notice.Notice, NoticeState) {
+// noticesFor returns the notices that a peer has not read yet, without those
+// that came from its own set.
+func (n *Node) noticesFor(read NoticeState, set string) ([]notice.Notice, NoticeState) {
 	index := 0
 	if read.Set == n.notices.ID() {
 		index = read.Index
 	}
-	notices, next := n.notices.Since(index, address)
+	notices, next := n.notices.Since(index, set)
 	return notices, NoticeState{Set: n.notices.ID(), Index: next}
 }
 
@@ -267,10 +268,10 @@
 		state = &exchangeState{}
 		n.exchanged[remote.Address] = state
 	}
-	args := ExchangeArgs{Centre: n.settings.Centre, Config: n.holder.Current().Version(), Read: state.read}
+	args := ExchangeArgs{Centre: n.settings.Centre, Config: n.holder.Current().Version(), Set: n.notices.ID(), Read: state.read}
 	n.mu.Unlock()
 	next := 0
-	args.Notices, next = n.notices.Since(state.sent, remote.Address)
+	args.Notices, next = n.notices.Since(state.sent, state.read.Set)
 	sent := n.clock.Now()
 	calling, cancel := context.WithTimeout(ctx, n.callTime())
 	defer cancel()
@@ -278,12 +279,15 @@
 	if err := n.dialer.Call(calling, remote.Address, "Centre.Exchange", args, &reply); err != nil || !reply.Leading {
 		return
 	}
-	n.notices.Add(remote.Address, reply.Notices...)
+	n.notices.Add(reply.Read.Set, reply.Notices...)
 	if !n.takeExchanged(reply) {
 		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if state.read.Set != "" && state.read.Set != reply.Read.Set {
+		next = 0
+	}
 	state.sent, state.read = next, reply.Read
 	if reply.Age >= 0 {
 		n.freshenLocked(sent.Add(-reply.Age))
@@ -321,9 +325,8 @@
 		return nil
 	}
 	reply.Leading = true
-	peer := "centre:" + args.Centre
-	n.notices.Add(peer, args.Notices...)
-	reply.Notices, reply.Read = n.noticesFor(args.Read, peer)
+	n.notices.Add(args.Set, args.Notices...)
+	reply.Notices, reply.Read = n.noticesFor(args.Read, args.Set)
 	current := n.holder.Current()
 	reply.Config = current.Version()
 	if args.Config < reply.Config {
--- a/src/centre/view.go
+++ b/src/centre/view.go
@@ -118,6 +118,8 @@
 	Epoch   Epoch
 	View    int64
 	Config  int64
+	// Set names the member's notices, Read how far it has read the leader's.
+	Set     string
 	Read    NoticeState
 	Notices []notice.Notice
 	Cells   []CellID
@@ -163,6 +165,7 @@
 type ExchangeArgs struct {
 	Centre  string
 	Config  int64
+	Set     string
 	Read    NoticeState
 	Notices []notice.Notice
 }
--- a/src/notice/notice.go
+++ b/src/notice/notice.go
@@ -104,7 +104,7 @@
 	return watch
 }
 
-// Add merges notices that came from a peer (or "" for this process) and
+// Add merges notices that came from a peer's set (or "" for this process) and
 // returns how many of them were new.
 func (s *Set) Add(from string, notices ...Notice) int {
 	s.mu.Lock()
@@ -147,7 +147,8 @@
 }
 
 // Since returns the log's entries from index on, without those that came from
-// the given peer or have been replaced, and the index after them.
+// the peer's set of this name or have been replaced, and the index after them. A
+// peer that was restarted has another set, so it gets back what it once sent.
 func (s *Set) Since(index int, peer string) ([]Notice, int) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
