--- a/src/centre/node.go
+++ b/src/centre/node.go
@@ -45,34 +45,45 @@
 	store    *document.Store
 	lease    *lease.Lease
 
-	nudge    chan struct{}
-	syncNow  chan struct{}
-	lastView chan struct{}
-
-	mu     sync.Mutex
-	view   *View
-	leader Member
-	epoch  Epoch
+	nudge   chan struct{}
+	syncNow chan struct{}
+	// news receives when the members should ask for what is new.
+	news chan struct{}
+
+	mu       sync.Mutex
+	view     *View
+	role     role
+	leader   Member
+	epoch    Epoch
+	interval time.Duration
 	// latest is the newest epoch that any daemon has told of.
-	latest    Epoch
-	role      role
-	interval  time.Duration
-	misses    int
-	lastBeat  time.Time
-	lastTick  time.Time
+	latest Epoch
+	// misses counts the heartbeats since the last that was accepted, at lastBeat.
+	misses   int
+	lastBeat time.Time
+	lastTick time.Time
+	// attemptAt is when contact was last tried, freshAt since when nothing of the
+	// table was missed.
 	attemptAt time.Time
 	freshAt   time.Time
+	// cellsTill is until when this daemon may use its cells.
 	cellsTill time.Time
+	// read is how far the leader's notices were read, sentIndex how far this
+	// daemon's were sent to the leader at sentTo.
 	read      NoticeState
 	sentTo    string
 	sentIndex int
-	recent    []document.Delta
-	stale     map[string]int64
+	// recent are the deltas that led to the configuration in force.
+	recent []document.Delta
+	// stale and warm are what this daemon's owner tells of its endpoints.
+	stale map[string]int64
+	warm  []string
+	// lead is the state of a leader, nil at a follower.
 	lead      *leadership
 	exchanged map[string]*exchangeState
-	listed    map[string]string
-	warm      []string
-	divided   division
+	// listed is the platform's live list as last read.
+	listed  map[string]string
+	divided division
 	// peerHeard is set in a search if a peer still hears its leader.
 	peerHeard bool
 	// left are former members of the view, by address and incarnation.
@@ -91,12 +102,11 @@
 )
 
 const (
-	keptRecent   = 64
-	maxLeft      = 4096
-	viewWatchers = 1
+	keptRecent = 64
+	maxLeft    = 4096
 )
 
-// New returns a daemon's node; Worker starts it.
+// New returns a daemon's node; its Workers keep it in its data centre.
 func New(settings Settings, clock sesamepitch.Clock, log logr.Logger, platform sesamepitch.Platform, dialer *peer.Dialer, holder *document.Holder, notices *notice.Set) *Node {
 	return &Node{
 		settings: settings, clock: clock, log: log, platform: platform, dialer: dialer,
@@ -106,7 +116,7 @@
 		lease:    lease.New(clock, platform, leaderKey(settings.Centre), settings.Self.ID+"@"+settings.Self.Incarnation, settings.Self.Address, settings.Lease),
 		nudge:    make(chan struct{}, 1),
 		syncNow:  make(chan struct{}, 1),
-		lastView: make(chan struct{}, viewWatchers),
+		news:     make(chan struct{}, 1),
 		interval: settings.Beat, lastBeat: clock.Now(), left: map[Member]bool{},
 		stale:     map[string]int64{},
 		exchanged: map[string]*exchangeState{},
--- a/src/centre/sync.go
+++ b/src/centre/sync.go
@@ -171,7 +171,7 @@
 }
 
 // nudgeMembers asks every member for its heartbeat now.
-func (n *Node) nudgeMembers() { wake(n.lastView) }
+func (n *Node) nudgeMembers() { wake(n.news) }
 
 // runNudges passes a leader's news on at once, when notices or the view change.
 func (n *Node) runNudges(ctx context.Context) error {
@@ -181,7 +181,7 @@
 		case <-watch:
 			wake(n.syncNow)
 			wake(n.nudge)
-		case <-n.lastView:
+		case <-n.news:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
