--- a/control_test.go
+++ b/control_test.go
@@ -87,7 +87,7 @@
 			leader.signal(stopSignal)
 			frozen = append(frozen, leader)
 		}
-		time.Sleep(time.Duration(4500+random.IntN(3000)) * time.Millisecond)
+		time.Sleep(time.Duration(6000+random.IntN(2500)) * time.Millisecond)
 		for _, d := range frozen {
 			d.signal(continueSignal)
 		}
