--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -20,7 +20,6 @@
 	prefixMemory   = 256
 	memberMemory   = 30 * time.Second
 	trainerReserve = 1
-	minReserveKnee = 4
 	smoothing      = 0.2
 	coldSlowness   = 8
 	enoughTokens   = 4
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -79,7 +79,6 @@
 	owner    string
 	endpoint string
 	address  string
-	reason   string
 	event    string
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -203,7 +202,7 @@
 	c.countMine(o.key(), ask.Workspace, 1)
 	stream := &Stream{
 		id: request.ID, ask: ask, cell: o.cell.ID, cellKey: o.key(), centre: o.centre, owner: o.cell.Address,
-		endpoint: reply.Endpoint, address: reply.Address, reason: reply.Reason, event: reply.Event,
+		endpoint: reply.Endpoint, address: reply.Address, event: reply.Event,
 	}
 	stream.ctx, stream.cancel = context.WithCancel(ask.ctx)
 	c.mu.Lock()
