An answer that comes after its call was given up has a place of its own

The second is taken to be the stand-in's: it counted a stream until its handler had returned, after the end mark that lets the owner grant the place again; under the race detector that gap is wide. It was not reproduced by itself. Change: the answer is copied when the call is done; the stand-in frees the place before the end mark.

--- a/src/peer/peer.go
+++ b/src/peer/peer.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,9 +70,15 @@
 	if err != nil {
 		return &Error{Op: method, Kind: sesamepitch.KindUnavailable, Err: err}
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// The answer may still be decoded after ctx has ended, so it gets a place of
+	// its own.
+	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(answer.Elem())
+		}
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			d.drop(address, client)
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -165,7 +165,9 @@
 	if !ok {
 		abort()
 	}
-	defer e.leave(life)
+	var once sync.Once
+	leave := func() { once.Do(func() { e.leave(life) }) }
+	defer leave()
 	if strings.Contains(request.Prompt, CrashMarker) {
 		e.crash()
 		abort()
@@ -178,7 +180,7 @@
 	if !hit {
 		time.Sleep(e.settings.Prefill)
 	}
-	e.stream(w, r, request, id, life)
+	e.stream(w, r, request, id, life, leave)
 }
 
 func (e *Engine) noteRequest(id string, r *http.Request) {
@@ -306,7 +308,9 @@
 	return life == e.life && !e.faults.Down, e.version, wait, e.faults
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, request CompletionRequest, id string, life int) {
+// stream sends the tokens; the stream's place is free before its end mark is
+// sent, since the caller may use the place as soon as it has read that.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, request CompletionRequest, id string, life int, leave func()) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := range request.MaxTokens {
 		alive, version, wait, faults := e.step(life)
@@ -334,6 +338,7 @@
 		}
 		_ = http.NewResponseController(w).Flush()
 	}
+	leave()
 	if !e.currentFaults().Truncate {
 		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 	}
