--- a/src/centre/leader.go
+++ b/src/centre/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"reflect"
+	"slices"
 	"sort"
 	"time"
 )
@@ -172,7 +173,7 @@
 		for _, cell := range n.view.Cells {
 			if cell.Owner == "" || n.lead.members[cell.Owner] == nil {
 				for _, name := range n.view.Warm {
-					warm[name] = warm[name] || contains(cell.Endpoints, name)
+					warm[name] = warm[name] || slices.Contains(cell.Endpoints, name)
 				}
 			}
 		}
@@ -192,15 +193,6 @@
 	return names
 }
 
-func contains(names []string, wanted string) bool {
-	for _, name := range names {
-		if name == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // hear keeps the books on one heartbeat. It returns false if this daemon does
 // not lead.
 func (n *Node) hear(args BeatArgs, reply *BeatReply) bool {
--- a/src/centre/view.go
+++ b/src/centre/view.go
@@ -6,6 +6,7 @@
 package centre
 
 import (
+	"slices"
 	"time"
 
 	"sesamepitch/src/document"
@@ -97,12 +98,7 @@
 
 // IsLeaving tells whether the platform said that the endpoint leaves.
 func (v *View) IsLeaving(endpoint string) bool {
-	for _, name := range v.Leaving {
-		if name == endpoint {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(v.Leaving, endpoint)
 }
 
 // NoticeState says how far one side has read the other side's notices.
--- a/src/document/store.go
+++ b/src/document/store.go
@@ -122,11 +122,6 @@
 	return d, nil
 }
 
-// Version reads an older whole version by its digest.
-func (s *Store) Version(ctx context.Context, digest string) (Document, error) {
-	return s.load(ctx, Head{Digest: digest})
-}
-
 // Accept makes mine, which was made from the base configuration, the next
 // version. Where other teams changed other items since, both changes hold.
 // base may be nil if mine is the first version. KindConflict names the item
--- a/src/entry/service.go
+++ b/src/entry/service.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"path"
+	"slices"
 	"strings"
 	"time"
 
@@ -111,15 +112,7 @@
 }
 
 func mayCall(service document.Service, workspace string) bool {
-	if len(service.Workspaces) == 0 {
-		return true
-	}
-	for _, name := range service.Workspaces {
-		if name == workspace {
-			return true
-		}
-	}
-	return false
+	return len(service.Workspaces) == 0 || slices.Contains(service.Workspaces, workspace)
 }
 
 func cleanQuery(query url.Values) string {
--- a/src/placement/placement.go
+++ b/src/placement/placement.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -137,7 +138,7 @@
 		limit -= request.Reserve
 	}
 	switch {
-	case len(request.Only) > 0 && !contains(request.Only, c.Name):
+	case len(request.Only) > 0 && !slices.Contains(request.Only, c.Name):
 		return "unproven"
 	case c.Leaving:
 		return "leaving"
@@ -150,21 +151,12 @@
 	case request.Suspect && c.Suspects > 0:
 		return "suspect"
 	}
-	if contains(request.Avoid, c.Name) {
+	if slices.Contains(request.Avoid, c.Name) {
 		return "avoided"
 	}
 	return ""
 }
 
-func contains(names []string, wanted string) bool {
-	for _, name := range names {
-		if name == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 func scoreOf(request Request, c Candidate) float64 {
 	score := float64(c.Running) / float64(max(c.Limit, 1))
 	if c.Cached {
--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -191,12 +192,7 @@
 }
 
 func (e *endpointState) knows(prefix string) bool {
-	for _, known := range e.prefixes {
-		if known == prefix && prefix != "" {
-			return true
-		}
-	}
-	return false
+	return prefix != "" && slices.Contains(e.prefixes, prefix)
 }
 
 func (e *endpointState) learn(prefix string) {
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -93,9 +93,6 @@
 // Address returns the endpoint's address.
 func (s *Stream) Address() string { return s.address }
 
-// Centre returns the endpoint's data centre.
-func (s *Stream) Centre() string { return s.centre }
-
 // Context ends when the stream's caller gives up or the owner revokes it.
 func (s *Stream) Context() context.Context { return s.ctx }
 
--- a/src/pool/renew.go
+++ b/src/pool/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"sesamepitch/src/centre"
 )
@@ -47,22 +48,13 @@
 		}
 	}
 	for _, cell := range cells {
-		if cell.ID == s.cell && cell.Address != "" && contains(cell.Endpoints, s.endpoint) {
+		if cell.ID == s.cell && cell.Address != "" && slices.Contains(cell.Endpoints, s.endpoint) {
 			return cell.Address
 		}
 	}
 	return s.owner
 }
 
-func contains(names []string, wanted string) bool {
-	for _, name := range names {
-		if name == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *Client) renewCell(ctx context.Context, owner string, id centre.CellID, held []Held) {
 	self := c.dir.Self()
 	renewal := Renewal{Entry: self.Address, Run: self.Incarnation, Cell: id, Held: held, Books: c.books()}
--- a/src/rollout/rollout.go
+++ b/src/rollout/rollout.go
@@ -51,7 +51,6 @@
 	tokens    int
 	milliCost int64
 	endpoint  string
-	attempts  int
 	queued    time.Duration
 }
 
@@ -73,17 +72,6 @@
 // Queued returns how long the last stream was waited for.
 func (g Generation) Queued() time.Duration { return g.queued }
 
-// Attempts returns how many streams it took.
-func (g Generation) Attempts() int { return g.attempts }
-
-// Oldest returns the oldest weight version, zero if there is none.
-func (g Generation) Oldest() int64 {
-	if len(g.versions) == 0 {
-		return 0
-	}
-	return g.versions[0]
-}
-
 // Prices tells what a token costs on an endpoint.
 type Prices interface {
 	// MilliPrice returns the price of a token in thousandths.
@@ -137,7 +125,7 @@
 			return Generation{}, &Error{Op: "rollout.generate", Kind: sesamepitch.KindOf(err), Ran: ran, Err: err}
 		}
 		a := &attempt{started: r.clock.Now()}
-		a.generation.endpoint, a.generation.attempts = stream.Endpoint(), number
+		a.generation.endpoint = stream.Endpoint()
 		a.generation.queued = a.started.Sub(asked)
 		if request.Placed != nil {
 			request.Placed(stream.Endpoint())
