A request that was given up before it was queued leaves no stream behind

A log line for lapsed streams showed one that was granted and that no entry ever used: the entry had left the queue for a stream elsewhere, and its end was handled before the request it ended (net/rpc handles each call in a goroutine of its own). The ghost kept an idle engine from being put on probation for ten seconds. Ruled out: adoption (the stream was granted by the same owner) and a lost end. Failing first: TestEndThatOvertakesItsRequest. Change: an owner remembers ends for 12 s and refuses requests that have ended; the same memory serves adoption. An end whose call failed is told once more.

--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -15,6 +15,7 @@
 const (
 	grantTTL       = 10 * time.Second
 	adoptTime      = 12 * time.Second
+	endMemory      = 12 * time.Second
 	breakAfter     = 3
 	breakBase      = 500 * time.Millisecond
 	breakMax       = 8 * time.Second
@@ -90,13 +91,13 @@
 	// knownWarm names the endpoints that the last owner knew as warm.
 	knownWarm map[string]bool
 	contents  *contents
-	// released holds the streams that ended while streams of an earlier owner
-	// were still adopted.
-	released map[string]bool
+	// ended holds when streams lately ended, also those that were given up before
+	// they were granted: calls of one entry may be handled in another order.
+	ended map[string]time.Time
 }
 
 func newCell(id centre.CellID, openAt time.Time) *cell {
-	return &cell{id: id, queue: share.NewQueue(), waiters: map[string]*waiter{}, grants: map[string]*grant{}, endpoints: map[string]*endpointState{}, knownWarm: map[string]bool{}, contents: newContents(), released: map[string]bool{}, openAt: openAt}
+	return &cell{id: id, queue: share.NewQueue(), waiters: map[string]*waiter{}, grants: map[string]*grant{}, endpoints: map[string]*endpointState{}, knownWarm: map[string]bool{}, contents: newContents(), ended: map[string]time.Time{}, openAt: openAt}
 }
 
 func rampSettings(e document.Endpoint) ramp.Settings {
@@ -329,15 +330,21 @@
 // granted: soon after the cell was opened, and not if its end came before a
 // renewal that was sent earlier.
 func (c *cell) mayAdopt(now time.Time, id string) bool {
-	return now.Before(c.openAt.Add(adoptTime)) && !c.released[id]
+	return now.Before(c.openAt.Add(adoptTime)) && !c.hasEnded(id)
 }
 
-func (c *cell) noteReleased(now time.Time, id string) {
-	if now.Before(c.openAt.Add(adoptTime)) {
-		c.released[id] = true
-		return
+func (c *cell) hasEnded(id string) bool {
+	_, ended := c.ended[id]
+	return ended
+}
+
+// forgetEnded forgets ends that no call sent before them can follow any more.
+func (c *cell) forgetEnded(now time.Time) {
+	for id, at := range c.ended {
+		if now.Sub(at) > endMemory {
+			delete(c.ended, id)
+		}
 	}
-	c.released = nil
 }
 
 // adopt counts a stream that an earlier owner granted.
@@ -375,13 +382,16 @@
 	return g, true
 }
 
-// expire drops the streams whose entry has not renewed them.
-func (c *cell) expire(now time.Time) {
+// expire drops the streams whose entry has not renewed them, and returns them.
+func (c *cell) expire(now time.Time) []Held {
+	var lapsed []Held
 	for id, g := range c.grants {
 		if now.Sub(g.renewed) > grantTTL {
+			lapsed = append(lapsed, g.held)
 			c.drop(now, id)
 		}
 	}
+	return lapsed
 }
 
 // learnOutcome updates what is known of the endpoint from a stream's end.
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -237,7 +237,9 @@
 
 func (c *Client) giveBack(request Request, owner string) {
 	release := Release{ID: request.ID, Entry: request.Entry, Run: request.Run, Cell: request.Cell, Outcome: Cancelled}
-	c.send(owner, release)
+	if c.tell(owner, release) != nil {
+		_ = c.tell(owner, release)
+	}
 }
 
 // Release ends a stream and tells its owner how. It returns when the owner
@@ -264,13 +266,22 @@
 // send tells the owner of a stream's end. It returns false if no other daemon
 // knows of it then.
 func (c *Client) send(owner string, r Release) bool {
+	err := c.tell(owner, r)
+	if err != nil {
+		// Once more without what counts, so that the place does not have to lapse.
+		_ = c.tell(owner, Release{ID: r.ID, Entry: r.Entry, Run: r.Run, Cell: r.Cell, Outcome: Cancelled})
+	}
+	return err == nil && owner != c.dir.Self().Address
+}
+
+func (c *Client) tell(owner string, r Release) error {
 	if owner == c.dir.Self().Address {
 		c.local.Release(r)
-		return false
+		return nil
 	}
 	calling, cancel := context.WithTimeout(context.Background(), releaseTime)
 	defer cancel()
-	return c.dialer.Call(calling, owner, "Pool.Release", r, &ReleaseReply{}) == nil
+	return c.dialer.Call(calling, owner, "Pool.Release", r, &ReleaseReply{})
 }
 
 func shareItem(r Request, arrived, deadline time.Time) share.Item {
--- a/src/pool/owner.go
+++ b/src/pool/owner.go
@@ -137,7 +137,10 @@
 			state = o.open(id, now)
 		}
 		state.update(c.Endpoints, config)
-		state.expire(now)
+		state.forgetEnded(now)
+		for _, held := range state.expire(now) {
+			o.log.Info("stream lapsed", "request", held.ID, "workspace", held.Workspace, "endpoint", held.Endpoint, "reason", "not renewed")
+		}
 		warm = append(warm, state.warm()...)
 		o.dispatch(state)
 	}
@@ -233,6 +236,9 @@
 	if state == nil || !o.node.Owns(r.Cell) {
 		return nil, Reply{State: Moved}
 	}
+	if state.hasEnded(r.ID) {
+		return nil, Reply{State: Moved, Reason: "given up"}
+	}
 	now := o.clock.Now()
 	if !now.Before(state.openAt) && !state.usable(now, o.node.View(), r) {
 		return nil, Reply{State: Empty, Reason: "no endpoint can take it", Queued: state.queue.Len()}
@@ -283,7 +289,7 @@
 		return
 	}
 	state.giveUp(r.ID)
-	state.noteReleased(o.clock.Now(), r.ID)
+	state.ended[r.ID] = o.clock.Now()
 	switch r.Outcome {
 	case Crashed:
 		o.noteCrash(state, r)
--- a/src/pool/owner_test.go
+++ b/src/pool/owner_test.go
@@ -115,6 +115,18 @@
 	assert.Equal(t, b.granted(), 2, "the ended stream counts for nothing")
 }
 
+// TestEndThatOvertakesItsRequest is the order in which two calls of one entry can
+// be handled: it gave the request up before the owner had queued it.
+func TestEndThatOvertakesItsRequest(t *testing.T) {
+	b := newBench()
+	b.clock.Advance(time.Minute)
+	b.owner.KeepCells()
+	b.owner.Release(pool.Release{ID: "early", Entry: "d1", Run: "run", Cell: cellID, Outcome: pool.Cancelled})
+	_, reply := b.acquire(func(r *pool.Request) { r.ID = "early" })
+	assert.Equal(t, reply.State, pool.Moved)
+	assert.Equal(t, b.granted(), 2, "nobody holds a stream")
+}
+
 func TestNewOwnerAdoptsRunningStreams(t *testing.T) {
 	b := newBench()
 	b.owner.Renew(pool.Renewal{Entry: "d2", Run: "run", Cell: cellID, Held: []pool.Held{{ID: "old", Endpoint: "e1"}}})
