Requests of a suspected content take turns in a daemon

Each owner lets one suspect run in its own cell, and knew nothing of the other's.

Ruled out: a crash notice that came late (both daemons' logs had it before the second try); the owner's own limit for unproven contents (each cell kept to it).

Change: the client of the pools lets one request of a suspected content through at a time, in whichever cell. A release notes its crash before it gives up its turn.

Before: TestSuspectsTakeTurns without the turn: the second ask gets a stream of the other cell at once.

Two daemons that are given the same content within a second can still try it at the same time; docs/PROMISES.md says so.

--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -67,6 +67,8 @@
 	// ctx is that of the whole request, also while it waits in one cell.
 	ctx   context.Context
 	asked time.Time
+	// turn is set while this is the one request of a suspected content.
+	turn bool
 }
 
 // Stream is a granted stream. Its context ends if the owner revokes it.
@@ -110,6 +112,8 @@
 	remote  map[string]remoteCells
 	loads   map[string]cellLoad
 	scouts  *scouts
+	// turns holds the suspected contents of which one request is under way.
+	turns map[string]bool
 	// mine counts this daemon's requests by cell and workspace.
 	mine map[string]int
 }
@@ -121,7 +125,7 @@
 func NewClient(clock sesamepitch.Clock, log logr.Logger, dir Directory, dialer *peer.Dialer, notices *notice.Set, local *Owner, books func() Books) *Client {
 	return &Client{
 		clock: clock, log: log, dir: dir, dialer: dialer, notices: notices, local: local, books: books,
-		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, loads: map[string]cellLoad{}, scouts: newScouts(), mine: map[string]int{},
+		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, loads: map[string]cellLoad{}, scouts: newScouts(), mine: map[string]int{}, turns: map[string]bool{},
 	}
 }
 
@@ -140,6 +144,14 @@
 // Acquire waits for a stream until ctx or the ask's deadline ends. Nothing has
 // been sent to any endpoint when it fails.
 func (c *Client) Acquire(ctx context.Context, ask Ask) (*Stream, error) {
+	stream, err := c.acquire(ctx, &ask)
+	if err != nil && ask.turn {
+		c.endTurn(ask.Fingerprint)
+	}
+	return stream, err
+}
+
+func (c *Client) acquire(ctx context.Context, ask *Ask) (*Stream, error) {
 	started := c.clock.Now()
 	ask.ctx, ask.asked = ctx, started
 	last := Reply{State: Empty, Reason: "no cell serves the pool"}
@@ -147,14 +159,21 @@
 		if err := ctx.Err(); err != nil {
 			return nil, &Error{Op: "pool.acquire", Kind: sesamepitch.KindTimeout, Err: fmt.Errorf("%s (%s)", last.State, last.Reason)}
 		}
-		if c.notices.Crashes(ask.Fingerprint) >= QuarantineAfter {
+		crashes := c.notices.Crashes(ask.Fingerprint)
+		if crashes >= QuarantineAfter {
 			return nil, &Error{Op: "pool.acquire", Kind: sesamepitch.KindQuarantined, Err: errCrashes}
 		}
-		options := c.options(ctx, ask)
+		if crashes > 0 && !ask.turn {
+			if ask.turn = c.takeTurn(ask.Fingerprint); !ask.turn {
+				c.pause(ctx)
+				continue
+			}
+		}
+		options := c.options(ctx, *ask)
 		waited := c.clock.Now().Sub(started)
-		stream, reply := c.takeFree(ctx, ask, options, waited)
+		stream, reply := c.takeFree(ctx, *ask, options, waited)
 		if stream == nil && reply.State == Waiting {
-			stream, reply = c.queue(ctx, ask, options, waited)
+			stream, reply = c.queue(ctx, *ask, options, waited)
 		}
 		if stream != nil {
 			return stream, nil
@@ -248,9 +267,6 @@
 	self := c.dir.Self()
 	s.cancel()
 	c.countMine(s.cellKey, s.ask.Workspace, -1)
-	c.mu.Lock()
-	delete(c.streams, s.id)
-	c.mu.Unlock()
 	r.ID, r.Entry, r.Run, r.Cell = s.id, self.Address, self.Incarnation, s.cell
 	r.Endpoint, r.Workspace, r.Fingerprint = s.endpoint, s.ask.Workspace, s.ask.Fingerprint
 	r.Books = c.books()
@@ -258,6 +274,12 @@
 		// Known here at once, whichever data centre's owner hears of it.
 		c.notices.Add("", c.notices.NewCrash(s.ask.Fingerprint, s.event, self.Address))
 	}
+	c.mu.Lock()
+	delete(c.streams, s.id)
+	c.mu.Unlock()
+	if s.ask.turn {
+		c.endTurn(s.ask.Fingerprint)
+	}
 	if !c.send(s.owner, r) && r.Billed {
 		c.keepElsewhere(r)
 	}
--- a/src/pool/owner_test.go
+++ b/src/pool/owner_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/centre"
 	"sesamepitch/src/document"
 	"sesamepitch/src/notice"
@@ -176,6 +177,40 @@
 	assert.Equal(t, b.notices.Crashes("innocent"), 0)
 }
 
+// directory is a data centre of one daemon that owns the cell itself.
+type directory struct{ view *centre.View }
+
+func (d directory) View() *centre.View  { return d.view }
+func (d directory) Self() centre.Member { return centre.Member{ID: "d1", Address: "d1"} }
+func (d directory) Centre() string      { return "muc" }
+
+// TestSuspectsTakeTurns asks for two streams of one suspected content in a pool
+// of two cells: two at once could crash two endpoints, which with the first makes
+// three.
+func TestSuspectsTakeTurns(t *testing.T) {
+	b := newBench()
+	b.member.view.Cells = []centre.Cell{
+		{ID: centre.CellID{Pool: "coach"}, Owner: "d1", Address: "d1", Endpoints: []string{"e1"}},
+		{ID: centre.CellID{Pool: "coach", Index: 1}, Owner: "d1", Address: "d1", Endpoints: []string{"e2"}},
+	}
+	b.owner.KeepCells()
+	client := pool.NewClient(sesamepitch.SystemClock{}, logr.Discard(), directory{view: b.member.view}, nil, b.notices, b.owner, func() pool.Books { return pool.Books{} })
+	b.notices.Add("", b.notices.NewCrash("suspect", "e0/1", "d1"))
+	ask := pool.Ask{Pool: "coach", Workspace: "w", Weight: 1, Tokens: 1, Fingerprint: "suspect"}
+	first, err := client.Acquire(t.Context(), ask)
+	assert.NilError(t, err)
+	short, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err = client.Acquire(short, ask)
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindTimeout)
+	client.Release(first, pool.Release{Outcome: pool.Cancelled})
+	second, err := client.Acquire(t.Context(), ask)
+	assert.NilError(t, err)
+	client.Release(second, pool.Release{Outcome: pool.Crashed})
+	_, err = client.Acquire(t.Context(), ask)
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindQuarantined)
+}
+
 func TestRefusals(t *testing.T) {
 	cases := []struct {
 		name    string
