Callers' bodies are bounded in memory, readers that stop are given up, load drives running daemons

Cause: a body's size and a workspace's open requests were bounded, their product was not: 10,000 requests of 4 MB. A caller that stopped reading its streamed answer held an engine's stream for as long as it liked.

Ruled out: reserving a request's whole Content-Length (a slow sender would hold what it never sends); the server's WriteTimeout (it would cut long streams).

The load tool's daemons try another port if one is taken meanwhile; the stand-in engine's tokens keep their pace when timers are late (a sample of 47 tokens took 1 to 2 ms a token longer).

After: TestBadCallersHarmNobody, TestBadInput, TestSmuggledLengths, TestReaderThatStopsIsGivenUp and TestLoadDrivesNineProcesses pass; smuggled lengths were kept out by net/http already.

A workspace's long streams may still fill all engines; another workspace then waits until one ends.

--- /dev/null
+++ b/input_test.go
@@ -0,0 +1,274 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// raw sends bytes as they are and returns all that comes back.
+func raw(t *testing.T, address, request string, wait time.Duration) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, request)
+	assert.NilError(t, err)
+	_ = conn.(*net.TCPConn).CloseWrite()
+	_ = conn.SetReadDeadline(time.Now().Add(wait))
+	content, _ := io.ReadAll(conn)
+	return string(content)
+}
+
+// TestBadInput sends what no caller should: each request is refused with a
+// clear error that says it did not run.
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	address, ctx := c.daemons[0].callers, context.Background()
+	step := "/v1/trainers/painter/steps/1"
+	cases := []struct {
+		name, path, key, body string
+		status                int
+		says                  string
+	}{
+		{"unknown model", "/v1/completions", "field", `{"model":"none","prompt":"p","max_tokens":2}`, 404, "none"},
+		{"negative tokens", "/v1/completions", "field", `{"model":"coach","prompt":"p","max_tokens":-2}`, 400, "max_tokens"},
+		{"too many tokens", "/v1/completions", "field", `{"model":"coach","prompt":"p","max_tokens":99999999}`, 400, "max_tokens"},
+		{"no prompt", "/v1/completions", "field", `{"model":"coach","max_tokens":2}`, 400, "prompt"},
+		{"wrong type", "/v1/completions", "field", `{"model":7}`, 400, "JSON"},
+		{"not JSON", "/v1/completions", "field", `prompt=p`, 400, "JSON"},
+		{"not UTF-8", "/v1/completions", "field", "{\"model\":\"coach\",\"prompt\":\"\xff\xfe\"}", 400, "UTF-8"},
+		{"oversized body", "/v1/completions", "field", completion(2, false, strings.Repeat("p", 5<<20)), 400, "larger"},
+		{"negative samples", step, "coaching", `{"groups":[{"prompt":"p","samples":-1,"max_tokens":2}]}`, 400, "samples"},
+		{"no groups", step, "coaching", `{"groups":[]}`, 400, "groups"},
+		{"step is no number", "/v1/trainers/painter/steps/-1", "coaching", `{"groups":[{"prompt":"p","samples":1,"max_tokens":2}]}`, 400, "step"},
+		{"negative version", "/v1/models/coach/versions", "coaching", `{"version":-1}`, 400, "version"},
+		{"unknown service", "/v1/services/none/do", "field", `{}`, 404, "none"},
+		{"long idempotency key", "/v1/services/lots/do", "field", `{}`, 400, "Idempotency-Key"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			var headers []string
+			if test.says == "Idempotency-Key" {
+				headers = []string{"Idempotency-Key", strings.Repeat("k", 300)}
+			}
+			got := send(ctx, http.MethodPost, address, test.path, c.key(test.key), test.body, headers...)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, test.status, got.body)
+			assert.Equal(t, got.ran, "no")
+			assert.Assert(t, strings.Contains(got.message, test.says), got.message)
+		})
+	}
+	t.Run("truncated body", func(t *testing.T) {
+		got := raw(t, address, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+c.key("field")+
+			"\r\nContent-Type: application/json\r\nContent-Length: 500\r\n\r\n{\"model\":\"coach\"", 10*time.Second)
+		assert.Assert(t, strings.Contains(got, "400 Bad Request") && strings.Contains(got, `"ran":"no"`) && strings.Contains(got, "ended early"), got)
+	})
+	t.Run("wrong content type", func(t *testing.T) {
+		body := completion(2, false, "p")
+		got := raw(t, address, fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", c.key("field"), len(body), body), 10*time.Second)
+		assert.Assert(t, strings.Contains(got, "400 Bad Request") && strings.Contains(got, `"ran":"no"`) && strings.Contains(got, "application/json"), got)
+	})
+	t.Run("large headers", func(t *testing.T) {
+		got := raw(t, address, "GET /v1/models HTTP/1.1\r\nHost: x\r\nX-Long: "+strings.Repeat("h", 64<<10)+"\r\n\r\n", 10*time.Second)
+		assert.Assert(t, strings.Contains(got, "431"), got)
+	})
+	assert.Equal(t, len(c.served("lots-1").Bodies)+len(c.served("lots-2").Bodies), 0, "a refused call ran")
+}
+
+// TestSmuggledLengths is P4: a request hidden behind doubled, contradicting or
+// unknown lengths of another one runs for nobody.
+func TestSmuggledLengths(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	const hidden = `{"smuggled":1}`
+	inner := fmt.Sprintf("POST /v1/services/lots/do HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(hidden), hidden)
+	head := "POST /v1/services/lots/do HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + c.key("field") + "\r\nContent-Type: application/json\r\n"
+	cases := []struct{ name, request string }{
+		{"length and chunks", head + "Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner},
+		{"chunks and the hidden request's length", head + fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 5+len(inner)) + inner},
+		{"two lengths", head + fmt.Sprintf("Content-Length: 2\r\nContent-Length: %d\r\n\r\n{}", 2+len(inner)) + inner},
+		{"unknown coding", head + "Transfer-Encoding: xchunked\r\nContent-Length: 2\r\n\r\n{}" + inner},
+		{"two codings", head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + inner},
+		{"signed length", head + "Content-Length: +2\r\n\r\n{}" + inner},
+		{"space before the colon", head + "Content-Length : 2\r\n\r\n{}" + inner},
+		{"list of lengths", head + "Content-Length: 2, 2\r\n\r\n{}" + inner},
+		{"no length", head + "\r\n" + inner},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			got := raw(t, c.daemons[0].callers, test.request, 5*time.Second)
+			assert.Equal(t, c.runs(hidden), 0, got)
+			for _, name := range []string{"lots-1", "lots-2"} {
+				for body := range c.served(name).Bodies {
+					assert.Assert(t, !strings.Contains(body, "POST "), "an endpoint got %q", body)
+				}
+			}
+		})
+	}
+}
+
+// longStream is a stream of about a second and a half, in tokens.
+const longStream = 300
+
+// TestBadCallersHarmNobody has one workspace send headers and bodies slowly,
+// and too many streams, while another one is served as ever.
+func TestBadCallersHarmNobody(t *testing.T) {
+	t.Parallel()
+	c := standard(t)
+	const memory = 16 << 20
+	c.apply(strings.Replace(c.standardDocument(), "{name: other, class: interactive, weight: 1,", "{name: other, class: interactive, weight: 1, max_queued: 40,", 1) +
+		fmt.Sprintf("limits:\n  - {name: body_memory_bytes, value: %d}\n", memory))
+	address := c.daemons[0].callers
+	served := func(what string) {
+		t.Helper()
+		begun := time.Now()
+		got := complete(address, c.key("field"), 4)
+		assert.Equal(t, got.status, http.StatusOK, "%s: %s", what, got.body)
+		assert.Assert(t, time.Since(begun) < 2*time.Second, "%s: %s", what, time.Since(begun))
+	}
+	t.Run("slow headers", func(t *testing.T) {
+		var wg sync.WaitGroup
+		for range 50 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				took, ended := trickle(address, "GET /v1/models HTTP/1.1\r\nX-Slow: "+strings.Repeat("h", 200), 12*time.Second)
+				assert.Check(t, ended && took < 8*time.Second, "cut after %s", took)
+			}()
+		}
+		time.Sleep(time.Second)
+		served("slow headers")
+		wg.Wait()
+	})
+	t.Run("bodies that are never finished", func(t *testing.T) {
+		head := "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + c.key("other") +
+			"\r\nContent-Type: application/json\r\nContent-Length: 4000000\r\n\r\n"
+		refused := 0
+		for range 30 {
+			if answer := halfBody(t, address, head, 3_900_000); strings.Contains(answer, "429") && strings.Contains(answer, `"ran":"no"`) {
+				refused++
+			}
+		}
+		assert.Assert(t, refused >= 20, "%d of 30 refused; 2 fit into its part of the memory", refused)
+		served("unfinished bodies")
+		if !raceEnabled {
+			assert.Assert(t, c.resident(c.daemons[0]) < 64<<20+2*memory, "%d bytes", c.resident(c.daemons[0]))
+		}
+	})
+	t.Run("too many streams", func(t *testing.T) {
+		var open []*stream
+		for range 38 {
+			open = append(open, openSlow(t, address, c.key("other")))
+		}
+		time.Sleep(200 * time.Millisecond)
+		var refused atomic.Int64
+		var wg sync.WaitGroup
+		for range 10 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				got := send(ctx, http.MethodPost, address, "/v1/completions", c.key("other"), completion(longStream, true, "one more"))
+				if got.status == http.StatusTooManyRequests && got.ran == "no" {
+					refused.Add(1)
+				}
+			}()
+		}
+		wg.Wait()
+		served("too many streams")
+		assert.Assert(t, refused.Load() >= 8, "%d of 10 refused; 2 were within the limit", refused.Load())
+		for _, s := range open {
+			s.cancel()
+		}
+	})
+}
+
+// trickle sends a request one byte every 100 ms until the other side ends it.
+func trickle(address, request string, limit time.Duration) (took time.Duration, ended bool) {
+	begun := time.Now()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, false
+	}
+	defer func() { _ = conn.Close() }()
+	for i := range len(request) {
+		if _, err := io.WriteString(conn, request[i:i+1]); err != nil {
+			return time.Since(begun), true
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
+				return time.Since(begun), true
+			}
+		}
+		if time.Since(begun) > limit {
+			return time.Since(begun), false
+		}
+	}
+	return time.Since(begun), false
+}
+
+// halfBody sends a head and the start of its body and leaves the connection
+// open; it returns the first answer that comes within a short time.
+func halfBody(t *testing.T, address, head string, bytes int) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	go func() {
+		_, _ = io.WriteString(conn, head)
+		_, _ = io.WriteString(conn, strings.Repeat(" ", bytes))
+	}()
+	_ = conn.SetReadDeadline(time.Now().Add(700 * time.Millisecond))
+	reader := bufio.NewReader(conn)
+	var answer strings.Builder
+	buffer := make([]byte, 4096)
+	for {
+		n, err := reader.Read(buffer)
+		answer.Write(buffer[:n])
+		if err != nil || strings.Contains(answer.String(), "}") {
+			return answer.String()
+		}
+	}
+}
+
+// openSlow opens a stream that lasts, without waiting for its first part.
+func openSlow(t *testing.T, address, key string) *stream {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		_ = send(ctx, http.MethodPost, address, "/v1/completions", key, completion(longStream, true, "how long "+address))
+	}()
+	return &stream{cancel: cancel}
+}
+
+// resident is the memory of a daemon's process, in bytes.
+func (c *cluster) resident(d *daemonProcess) int64 {
+	c.t.Helper()
+	response, err := http.Get("http://" + d.operators + "/metrics")
+	assert.NilError(c.t, err)
+	defer func() { _ = response.Body.Close() }()
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		var value float64
+		if n, _ := fmt.Sscanf(scanner.Text(), "process_resident_memory_bytes %g", &value); n == 1 {
+			return int64(value)
+		}
+	}
+	c.t.Fatal("no resident memory in the metrics")
+	return 0
+}
--- a/load_test.go
+++ b/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -11,6 +12,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/load"
 	"sesamepitch/src/notice"
 	"sesamepitch/src/operator"
 	"sesamepitch/src/standin"
@@ -152,6 +154,33 @@
 	return last
 }
 
+// TestLoadDrivesNineProcesses sends the load command's mixed load to nine daemons
+// in three data centres: nothing fails and nothing is doubled.
+func TestLoadDrivesNineProcesses(t *testing.T) {
+	t.Parallel()
+	r := newRun(t, 1)
+	args := []string{"load", "--daemon", r.daemons[0].operators, "--for", "10s", "--json"}
+	for _, d := range r.daemons {
+		args = append(args, "--callers", d.callers)
+	}
+	for _, workspace := range []string{"coaching", "field", "other"} {
+		args = append(args, "--key", workspace+"="+r.key(workspace))
+	}
+	p := r.start("load", args...)
+	select {
+	case <-p.ended:
+	case <-time.After(60 * time.Second):
+		t.Fatal("load does not end")
+	}
+	var seen load.Traffic
+	assert.NilError(t, json.Unmarshal([]byte(p.log.String()), &seen), p.log.String())
+	assert.Equal(t, p.command.ProcessState.ExitCode(), 0, p.log.String())
+	assert.Equal(t, seen.Failed, int64(0), "%v", seen.Causes)
+	assert.Equal(t, seen.Doubled, int64(0))
+	assert.Assert(t, seen.Asked > 50 && seen.Called > 50 && seen.Steps > 1, "%+v", seen)
+	t.Logf("%+v", seen)
+}
+
 // TestCentreTakenOut is P11: a data centre is taken out under load through one
 // instance while another is cut off, and taken out and brought back three times
 // in ten seconds.
--- a/src/command/load.go
+++ b/src/command/load.go
@@ -1,13 +1,53 @@
 package command
 
 import (
+	"errors"
+	"fmt"
+	"strings"
+
 	"sesamepitch/src/load"
 
 	"github.com/go-logr/logr"
 )
 
-// runLoad runs the policies in turn on the same seeds.
+var errLoadFailed = errors.New("requests failed or were doubled")
+
+// drive sends a mixed load to running daemons; any failure is an error.
+func drive(env environment, o LoadOptions) error {
+	settings := load.TrafficSettings{Callers: o.Callers, Seed: o.Seed, Length: o.Length}
+	for _, pair := range o.Keys {
+		workspace, key, found := strings.Cut(pair, "=")
+		if !found || workspace == "" || key == "" {
+			return usageError{message: fmt.Sprintf("--key must be WORKSPACE=KEY, not %q", workspace)}
+		}
+		settings.Credentials = append(settings.Credentials, load.NewCredential(workspace, key))
+	}
+	if len(settings.Credentials) == 0 {
+		return usageError{message: "--callers needs at least one --key WORKSPACE=KEY"}
+	}
+	current, err := o.client().Document(env.ctx)
+	if err != nil {
+		return err
+	}
+	settings.Document = current.Document
+	seen := load.Drive(env.ctx, settings)
+	if o.JSON {
+		err = printJSON(env.out, seen)
+	} else {
+		err = load.PrintTraffic(env.out, seen)
+	}
+	if err == nil && (seen.Failed > 0 || seen.Doubled > 0) {
+		err = errLoadFailed
+	}
+	return err
+}
+
+// runLoad runs the policies in turn on the same seeds, or drives daemons that
+// run already.
 func runLoad(env environment, o LoadOptions) error {
+	if len(o.Callers) > 0 {
+		return drive(env, o)
+	}
 	log := logr.Discard()
 	if o.Verbose {
 		log = newLog(env.errOut)
--- a/src/command/options.go
+++ b/src/command/options.go
@@ -139,13 +139,17 @@
 // LoadOptions are the options of load.
 type LoadOptions struct {
 	Preset   string   `long:"preset" env:"SESAMEPITCH_PRESET" description:"deployment" choice:"gelaenderwerk" choice:"guild" default:"gelaenderwerk"`
-	Scenario string   `long:"scenario" env:"SESAMEPITCH_SCENARIO" description:"what happens during the run" choice:"steady" choice:"stragglers" choice:"neighbour" choice:"weights" choice:"reclaim" choice:"cold" choice:"centre" choice:"no-cheap" choice:"store-down" default:"steady"`
+	Scenario string   `long:"scenario" env:"SESAMEPITCH_SCENARIO" description:"what happens during the run" choice:"steady" choice:"stragglers" choice:"neighbour" choice:"weights" choice:"reclaim" choice:"cold" choice:"centre" choice:"no-cheap" choice:"store-down" choice:"light" default:"steady"`
 	Seed     uint64   `long:"seed" env:"SESAMEPITCH_SEED" description:"first seed of the work" default:"1"`
 	Seeds    uint64   `long:"seeds" env:"SESAMEPITCH_SEEDS_COUNT" description:"number of seeds, one after the other" default:"1"`
 	Steps    int      `long:"steps" env:"SESAMEPITCH_STEPS" description:"steps of each trainer" default:"3"`
 	Policies []string `long:"policy" env:"SESAMEPITCH_POLICIES" env-delim:"," description:"policies to run in turn" choice:"sesamepitch" choice:"round-robin" choice:"two-choices" default:"sesamepitch" default:"round-robin" default:"two-choices"`
-	JSON     bool     `long:"json" env:"SESAMEPITCH_JSON" description:"print JSON"`
 	Verbose  bool     `long:"verbose" env:"SESAMEPITCH_VERBOSE" description:"print the daemons' log"`
+	// With Callers, load drives a running deployment and runs no policy.
+	Callers []string      `long:"callers" env:"SESAMEPITCH_LOAD_CALLERS" env-delim:"," description:"IP:port for callers of a running daemon; load drives these instead of a deployment of its own"`
+	Keys    []string      `long:"key" env:"SESAMEPITCH_LOAD_KEYS" env-delim:"," description:"WORKSPACE=KEY to drive running daemons with"`
+	Length  time.Duration `long:"for" env:"SESAMEPITCH_LOAD_FOR" description:"how long to drive running daemons" default:"30s"`
+	Remote
 }
 
 // StandinOptions are the subcommands of standin.
--- a/src/deployment/deployment.go
+++ b/src/deployment/deployment.go
@@ -154,7 +154,10 @@
 	return nil
 }
 
-const serviceStreams = 64
+const (
+	serviceStreams = 64
+	portTries      = 5
+)
 
 func (d *Deployment) startService(service, centreName string) error {
 	stand := standin.NewService()
@@ -180,7 +183,18 @@
 	return listener.Addr().String(), nil
 }
 
+// startDaemon tries other ports if another process has taken one meanwhile.
 func (d *Deployment) startDaemon(name, centreName string) error {
+	var err error
+	for range portTries {
+		if err = d.startDaemonOnce(name, centreName); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (d *Deployment) startDaemonOnce(name, centreName string) error {
 	var addresses [3]string
 	for i := range addresses {
 		var err error
--- a/src/document/check.go
+++ b/src/document/check.go
@@ -201,7 +201,7 @@
 	}
 }
 
-var knownLimits = map[string]bool{LimitBodyBytes: true, LimitTokens: true, LimitWeightLoads: true, LimitStreams: true}
+var knownLimits = map[string]bool{LimitBodyBytes: true, LimitTokens: true, LimitWeightLoads: true, LimitStreams: true, LimitBodyMemory: true}
 
 func (c *checker) checkRest(d Document) {
 	for i, l := range d.Limits {
--- a/src/document/config.go
+++ b/src/document/config.go
@@ -10,6 +10,7 @@
 	defaultTokens      = 8192
 	defaultWeightLoads = 8
 	defaultStreams     = 10000
+	defaultBodyMemory  = 128 << 20
 )
 
 // Config is one accepted version of the document, indexed and read-only.
@@ -140,6 +141,8 @@
 		return defaultTokens
 	case LimitWeightLoads:
 		return defaultWeightLoads
+	case LimitBodyMemory:
+		return defaultBodyMemory
 	default:
 		return defaultStreams
 	}
--- a/src/document/document.go
+++ b/src/document/document.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	sesamepitch "sesamepitch/src"
@@ -98,6 +99,11 @@
 	Workspaces []string `json:"workspaces,omitempty" yaml:"workspaces"`
 }
 
+// MayBeCalledBy tells whether the workspace may call the service.
+func (s Service) MayBeCalledBy(workspace string) bool {
+	return len(s.Workspaces) == 0 || slices.Contains(s.Workspaces, workspace)
+}
+
 // Limit is a named bound of the whole system.
 type Limit struct {
 	Name  string `json:"name" yaml:"name"`
@@ -114,6 +120,9 @@
 	LimitWeightLoads = "weight_loads"
 	// LimitStreams bounds a workspace's open requests at one instance.
 	LimitStreams = "workspace_streams"
+	// LimitBodyMemory bounds the bytes of all callers' bodies that one instance
+	// holds; a workspace may take half of it.
+	LimitBodyMemory = "body_memory_bytes"
 )
 
 // OpenRoute is a path that needs no key; its requests run for a workspace
--- a/src/entry/answer.go
+++ b/src/entry/answer.go
@@ -81,6 +81,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, invalid("body is larger than %d bytes", limit)
+	case sesamepitch.KindOf(err) == sesamepitch.KindOverloaded:
+		return nil, err
 	case err != nil:
 		return nil, invalid("body ended early: %v", err)
 	}
--- a/src/entry/complete.go
+++ b/src/entry/complete.go
@@ -188,6 +188,7 @@
 		if err != nil {
 			return err
 		}
+		_ = controller.SetWriteDeadline(s.Clock.Now().Add(readerPatience))
 		if _, err := fmt.Fprintf(w, "data: %s\n\n", encoded); err != nil {
 			return &Error{Op: "entry.stream", Kind: sesamepitch.KindTimeout, Err: err}
 		}
--- a/src/entry/server.go
+++ b/src/entry/server.go
@@ -19,7 +19,12 @@
 	"github.com/go-logr/logr"
 )
 
-const bodyReadTime = 30 * time.Second
+const (
+	bodyReadTime = 30 * time.Second
+	// readerPatience is how long a part of a streamed answer may wait for its
+	// caller to read; one that does not read must not hold an engine's stream.
+	readerPatience = 30 * time.Second
+)
 
 // Parts are what a Server works with.
 type Parts struct {
@@ -59,13 +64,15 @@
 	draining atomic.Bool
 	active   atomic.Int64
 
+	memory *memory
+
 	mu      sync.Mutex
 	streams map[string]int64
 }
 
 // New returns the callers' server.
 func New(parts Parts) *Server {
-	s := &Server{Parts: parts, mux: http.NewServeMux(), streams: map[string]int64{}}
+	s := &Server{Parts: parts, mux: http.NewServeMux(), memory: newMemory(), streams: map[string]int64{}}
 	s.mux.HandleFunc("GET /healthz", s.health)
 	s.mux.HandleFunc("GET /readyz", s.ready)
 	s.mux.HandleFunc("GET /v1/models", s.keyed("models", s.listModels))
@@ -83,7 +90,10 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	_ = http.NewResponseController(w).SetReadDeadline(s.Clock.Now().Add(bodyReadTime))
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(s.Clock.Now().Add(bodyReadTime))
+	// The connection's last streamed answer left its deadline behind.
+	_ = controller.SetWriteDeadline(time.Time{})
 	s.mux.ServeHTTP(w, r)
 }
 
@@ -128,6 +138,7 @@
 			return
 		}
 		defer s.leave(caller.workspace)
+		defer s.meter(r, caller.workspace).release()
 		ctx, done := s.Admission.Watch(r.Context(), caller)
 		defer done()
 		err = next(ctx, w, r, caller)
@@ -135,6 +146,14 @@
 	}
 }
 
+// meter bounds the memory of the request's body.
+func (s *Server) meter(r *http.Request, workspace document.Workspace) *meteredBody {
+	limit := s.Holder.Current().Limit(document.LimitBodyMemory)
+	body := &meteredBody{ReadCloser: r.Body, memory: s.memory, workspace: workspace.Name, limit: limit}
+	r.Body = body
+	return body
+}
+
 func (s *Server) enter(workspace document.Workspace) error {
 	limit := s.Holder.Current().Limit(document.LimitStreams)
 	if workspace.MaxQueued > 0 {
--- a/src/entry/service.go
+++ b/src/entry/service.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 	"path"
-	"slices"
 	"strings"
 	"time"
 
@@ -73,6 +72,7 @@
 		return err
 	}
 	defer s.leave(workspace)
+	defer s.meter(r, workspace).release()
 	in, err := s.readInvocation(w, r, route.Service, r.URL.Path, workspace)
 	if err != nil {
 		fail(r.Context(), w, operation, err, call.RanNo)
@@ -89,7 +89,7 @@
 func (s *Server) readInvocation(w http.ResponseWriter, r *http.Request, service, target string, workspace document.Workspace) (invocation, error) {
 	config := s.Holder.Current()
 	found, ok := config.Service(service)
-	if !ok || !mayCall(found, workspace.Name) {
+	if !ok || !found.MayBeCalledBy(workspace.Name) {
 		return invocation{}, &Error{Op: "entry.service", Kind: sesamepitch.KindNotFound, Err: fmt.Errorf("no service %q for this workspace", service)}
 	}
 	body, err := readBody(w, r, config.Limit(document.LimitBodyBytes))
@@ -111,10 +111,6 @@
 	return in, nil
 }
 
-func mayCall(service document.Service, workspace string) bool {
-	return len(service.Workspaces) == 0 || slices.Contains(service.Workspaces, workspace)
-}
-
 func cleanQuery(query url.Values) string {
 	for name := range query {
 		for _, field := range credentialFields {
--- a/src/entry/steps.go
+++ b/src/entry/steps.go
@@ -63,7 +63,10 @@
 type lines struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
+	clock      sesamepitch.Clock
 	begun      bool
+	// patience is how long one line may wait for the trainer to read.
+	patience time.Duration
 }
 
 func (l *lines) send(line StepLine) error {
@@ -76,6 +79,7 @@
 	if err != nil {
 		return err
 	}
+	_ = l.controller.SetWriteDeadline(l.clock.Now().Add(l.patience))
 	if _, err := l.writer.Write(append(encoded, '\n')); err != nil {
 		return &Error{Op: "entry.step", Kind: sesamepitch.KindTimeout, Err: err}
 	}
@@ -107,7 +111,7 @@
 		return err
 	}
 	// A step may last longer than any other request's body may take to come.
-	out := &lines{writer: w, controller: http.NewResponseController(w)}
+	out := &lines{writer: w, controller: http.NewResponseController(w), clock: s.Clock, patience: readerPatience}
 	_ = out.controller.SetReadDeadline(time.Time{})
 	result, err := s.Steps.Drive(ctx, trainer, open, out)
 	if err == nil {
--- a/src/load/load.go
+++ b/src/load/load.go
@@ -33,6 +33,7 @@
 	CentreOut  = "centre"
 	NoCheap    = "no-cheap"
 	StoreDown  = "store-down"
+	Light      = "light"
 )
 
 const (
@@ -44,6 +45,7 @@
 	memberEvery     = 120 * time.Millisecond
 	memberTokens    = 12
 	neighbourRate   = 10
+	lightGroups     = 1
 	coldFor         = 2 * time.Second
 	weightsEvery    = 3 * time.Second
 	reclaimNotice   = 1500 * time.Millisecond
@@ -73,6 +75,7 @@
 	base     *baseline
 	info     map[string]engineInfo
 	book     *book
+	used     *occupancy
 	started  time.Time
 	version  int64
 	mu       sync.Mutex
@@ -103,10 +106,24 @@
 	}
 	e.started = time.Now()
 	e.book.begun = e.started
-	e.play(ctx)
+	e.observed(ctx, e.play)
 	return e.report(ctx), nil
 }
 
+// observed runs the play and samples the engines meanwhile.
+func (e *experiment) observed(ctx context.Context, play func(context.Context)) {
+	e.used = e.newOccupancy()
+	watching, stop := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.used.watch(watching)
+	}()
+	play(ctx)
+	stop()
+	<-ended
+}
+
 func (e *experiment) prepare() {
 	pools := map[string][]*baseEngine{}
 	for _, d := range e.running.Document().Endpoints {
@@ -211,6 +228,9 @@
 	if e.settings.Scenario == Neighbour && trainerIndex == 0 {
 		count *= neighbourRate
 	}
+	if e.settings.Scenario == Light {
+		count = lightGroups
+	}
 	groups := make([]step.Group, count)
 	for g := range groups {
 		groups[g] = step.Group{
--- a/src/load/report.go
+++ b/src/load/report.go
@@ -129,24 +129,29 @@
 	Seed     uint64 `json:"seed"`
 	// Makespan is the time until every trainer had all its steps, and its ratio
 	// to the lower bound: the engines full to their knees with nothing else.
-	Makespan      time.Duration `json:"makespan"`
-	LowerBound    time.Duration `json:"lower_bound"`
-	OverBound     float64       `json:"over_bound"`
-	StepMedian    time.Duration `json:"step_median"`
-	StepWorst     time.Duration `json:"step_worst"`
-	FailedSteps   int           `json:"failed_steps"`
-	MeanLag       float64       `json:"mean_lag"`
-	StaleSamples  int64         `json:"stale_samples"`
-	MemberP50     time.Duration `json:"member_p50"`
-	MemberP99     time.Duration `json:"member_p99"`
-	MemberFailed  int64         `json:"member_failed"`
-	WorstShare    float64       `json:"worst_share"`
-	CostPerToken  float64       `json:"cost_per_token"`
-	CheapShare    float64       `json:"cheap_share"`
-	WastedTokens  int64         `json:"wasted_tokens"`
-	ColdOverloads int           `json:"cold_overloads"`
-	Crashes       int           `json:"crashes"`
-	AfterOut      int64         `json:"after_out"`
+	Makespan     time.Duration `json:"makespan"`
+	LowerBound   time.Duration `json:"lower_bound"`
+	OverBound    float64       `json:"over_bound"`
+	StepMedian   time.Duration `json:"step_median"`
+	StepWorst    time.Duration `json:"step_worst"`
+	FailedSteps  int           `json:"failed_steps"`
+	MeanLag      float64       `json:"mean_lag"`
+	StaleSamples int64         `json:"stale_samples"`
+	MemberP50    time.Duration `json:"member_p50"`
+	MemberP99    time.Duration `json:"member_p99"`
+	MemberFailed int64         `json:"member_failed"`
+	WorstShare   float64       `json:"worst_share"`
+	CostPerToken float64       `json:"cost_per_token"`
+	CheapShare   float64       `json:"cheap_share"`
+	// OracleCost is the least cost a token for the same streams at the same times.
+	OracleCost float64 `json:"oracle_cost"`
+	// Busy is the share of the training engines' streams that were in use.
+	Busy          float64 `json:"busy"`
+	CacheHits     float64 `json:"cache_hits"`
+	WastedTokens  int64   `json:"wasted_tokens"`
+	ColdOverloads int     `json:"cold_overloads"`
+	Crashes       int     `json:"crashes"`
+	AfterOut      int64   `json:"after_out"`
 	// ReportedTokens over DeliveredTokens is one if the usage reports are right.
 	DeliveredTokens int64 `json:"delivered_tokens"`
 	ReportedTokens  int64 `json:"reported_tokens"`
@@ -171,13 +176,18 @@
 	r.CheapShare = ratio(b.cheap, b.tokens)
 	r.StepMedian, r.StepWorst = stepTimes(b.steps)
 	r.WorstShare = e.worstShare()
+	r.Busy, r.OracleCost = e.used.busy(), e.used.oracleCost()
+	started, hits := 0, 0
 	for _, d := range e.running.Document().Endpoints {
 		if engine := e.running.Engine(d.Name); engine != nil {
 			seen := engine.Seen()
 			r.ColdOverloads += seen.ColdOverloads
 			r.Crashes += seen.Crashes
+			started += seen.Started
+			hits += seen.CacheHits
 		}
 	}
+	r.CacheHits = ratio(int64(hits), int64(started))
 	if e.base != nil {
 		r.WastedTokens = e.base.wasted.Load()
 		return r
@@ -285,11 +295,11 @@
 // Print writes reports side by side.
 func Print(w io.Writer, reports []Report) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "SCENARIO\tPOLICY\tSEED\tMAKESPAN\tOVER BOUND\tSTEP P50\tMEAN LAG\tSTALE\tMEMBER P50\tMEMBER P99\tMEMBER BAD\tWORST SHARE\tCOST/TOKEN\tCHEAP %\tOVERLOADS\tFAILED STEPS")
+	_, _ = fmt.Fprintln(table, "SCENARIO\tPOLICY\tSEED\tMAKESPAN\tOVER BOUND\tBUSY\tCACHED\tSTEP P50\tMEAN LAG\tSTALE\tMEMBER P50\tMEMBER P99\tMEMBER BAD\tWORST SHARE\tCOST/TOKEN\tORACLE\tCHEAP %\tOVERLOADS\tFAILED STEPS")
 	for _, r := range reports {
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%.2f\t%s\t%.2f\t%d\t%s\t%s\t%d\t%.2f\t%.3f\t%.0f\t%d\t%d\n",
-			r.Scenario, r.Policy, r.Seed, round(r.Makespan), r.OverBound, round(r.StepMedian), r.MeanLag, r.StaleSamples,
-			round(r.MemberP50), round(r.MemberP99), r.MemberFailed, r.WorstShare, r.CostPerToken, r.CheapShare*percent, r.ColdOverloads, r.FailedSteps)
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%.2f\t%.2f\t%.2f\t%s\t%.2f\t%d\t%s\t%s\t%d\t%.2f\t%.3f\t%.3f\t%.0f\t%d\t%d\n",
+			r.Scenario, r.Policy, r.Seed, round(r.Makespan), r.OverBound, r.Busy, r.CacheHits, round(r.StepMedian), r.MeanLag, r.StaleSamples,
+			round(r.MemberP50), round(r.MemberP99), r.MemberFailed, r.WorstShare, r.CostPerToken, r.OracleCost, r.CheapShare*percent, r.ColdOverloads, r.FailedSteps)
 	}
 	return table.Flush()
 }
--- a/src/load/service.go
+++ b/src/load/service.go
@@ -73,7 +73,7 @@
 }
 
 func (o *own) ask(ctx context.Context, workspace, prompt string, tokens int) (answer, error) {
-	return askDaemon(ctx, o.http, o.callers()[0], o.running.Key(workspace), prompt, tokens)
+	return askDaemon(ctx, o.http, o.callers()[0], o.running.Key(workspace), question{Model: memberModel, Prompt: prompt, MaxTokens: tokens})
 }
 
 func (o *own) publish(ctx context.Context, trainerName, workspace string, version int64) error {
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -312,8 +312,12 @@
 // sent, since the caller may use the place as soon as it has read that.
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, request CompletionRequest, id string, life int, leave func()) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	// Each token is due a token's time after the one before was due, so that late
+	// timers do not add up.
+	due := time.Now()
 	for i := range request.MaxTokens {
 		alive, version, wait, faults := e.step(life)
+		due = due.Add(wait)
 		if !alive || (faults.CutAfter > 0 && i >= faults.CutAfter) {
 			abort()
 		}
@@ -321,7 +325,7 @@
 			return
 		}
 		select {
-		case <-time.After(wait):
+		case <-time.After(time.Until(due)):
 		case <-r.Context().Done():
 			abort()
 		}
@@ -435,6 +439,13 @@
 	return seen
 }
 
+// Running counts the streams under way.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
 // Cool turns the engine cold without a warning.
 func (e *Engine) Cool() {
 	e.mu.Lock()
