A group's samples run beside its first ones until one is whole

Cause: idle time. Until one sample of a prompt was whole only two of them ran, so that a prompt that crashes endpoints takes no more than two.

Change: the promise counts endpoints, not samples. The first samples of a group choose at most two endpoints; the others start once these are known and are limited to them (src/step/pins.go, Ask.Only). A sample whose endpoint failed asks again.

--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -232,7 +232,20 @@
 func (c *cell) placementRequest(now time.Time, r Request) placement.Request {
 	return placement.Request{
 		MinVersion: r.MinVersion, Avoid: r.Avoid, Interactive: r.Interactive,
-		Urgent: r.Urgent, Suspect: r.Suspect, Unproven: r.Fingerprint != "" && !c.contents.isProven(r.Fingerprint), Reserve: c.reserve(now), Only: c.contents.only(r.Fingerprint, r.Crashes),
+		Urgent: r.Urgent, Suspect: r.Suspect, Unproven: r.Fingerprint != "" && !c.contents.isProven(r.Fingerprint), Reserve: c.reserve(now), Only: c.only(r),
+	}
+}
+
+// only returns the endpoints that the request is limited to: those that it names
+// itself, or else those of this cell that its unproven content runs on.
+func (c *cell) only(r Request) []string {
+	switch {
+	case c.contents.isProven(r.Fingerprint):
+		return nil
+	case len(r.Only) > 0:
+		return r.Only
+	default:
+		return c.contents.only(r.Fingerprint, r.Crashes)
 	}
 }
 
@@ -292,6 +305,9 @@
 // usable tells whether any endpoint could take the request, now or later.
 func (c *cell) usable(now time.Time, view *centre.View, r Request) bool {
 	for _, candidate := range c.candidates(now, view, "") {
+		if len(r.Only) > 0 && !slices.Contains(r.Only, candidate.Name) {
+			continue
+		}
 		stale := candidate.Version != 0 && candidate.Version < r.MinVersion
 		if !candidate.Leaving && !candidate.Broken && !stale && candidate.Limit > 0 {
 			return true
--- a/src/pool/choose.go
+++ b/src/pool/choose.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -55,6 +56,25 @@
 	return list
 }
 
+// limit asks which endpoints the request may use now, and keeps the cells that
+// have one of them.
+func (c *Client) limit(ask *Ask, options []option) []option {
+	ask.only, ask.limited = nil, false
+	if ask.Only != nil {
+		ask.only, ask.limited = ask.Only()
+	}
+	if !ask.limited {
+		return options
+	}
+	var kept []option
+	for _, o := range options {
+		if slices.ContainsFunc(ask.only, func(name string) bool { return slices.Contains(o.cell.Endpoints, name) }) {
+			kept = append(kept, o)
+		}
+	}
+	return kept
+}
+
 // optionsOf lists a data centre's cells, the ones with more free streams first.
 func (c *Client) optionsOf(centreName string, cells []centre.Cell, pool string) []option {
 	var list []option
@@ -115,7 +135,10 @@
 	if !found {
 		return nil, Reply{}
 	}
-	waiting, done := c.scouts.enter(ctx, ask.Pool, best.key())
+	waiting, done := ctx, func() {}
+	if !ask.limited {
+		waiting, done = c.scouts.enter(ctx, ask.Pool, best.key())
+	}
 	defer done()
 	c.countMine(best.key(), ask.Workspace, 1)
 	defer c.countMine(best.key(), ask.Workspace, -1)
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -62,13 +62,19 @@
 	Suspect     bool
 	Urgent      bool
 	Avoid       []string
-	MinVersion  int64
+	// Only names the endpoints that the request may use, if it is limited. It is
+	// asked again for each attempt; nil if the request is never limited.
+	Only       func() (endpoints []string, limited bool)
+	MinVersion int64
 
 	// ctx is that of the whole request, also while it waits in one cell.
 	ctx   context.Context
 	asked time.Time
 	// turn is set while this is the one request of a suspected content.
 	turn bool
+	// only are the endpoints of the present attempt.
+	only    []string
+	limited bool
 }
 
 // Stream is a granted stream. Its context ends if the owner revokes it.
@@ -169,7 +175,11 @@
 				continue
 			}
 		}
-		options := c.options(ctx, *ask)
+		options := c.limit(ask, c.options(ctx, *ask))
+		if len(options) == 0 {
+			c.pause(ctx)
+			continue
+		}
 		waited := c.clock.Now().Sub(started)
 		stream, reply := c.takeFree(ctx, *ask, options, waited)
 		if stream == nil && reply.State == Waiting {
@@ -235,7 +245,11 @@
 		ID: uuid.NewString(), Entry: self.Address, Run: self.Incarnation, Cell: o.cell.ID,
 		Workspace: ask.Workspace, Weight: ask.Weight, Interactive: ask.Interactive, Tokens: ask.Tokens,
 		Slack: ask.Deadline.Sub(c.clock.Now()), Waited: waited, Prefix: ask.Prefix, Fingerprint: ask.Fingerprint,
-		Suspect: ask.Suspect, Urgent: ask.Urgent, Avoid: ask.Avoid, MinVersion: ask.MinVersion, Wait: wait,
+		Suspect: ask.Suspect, Urgent: ask.Urgent, Avoid: ask.Avoid, Only: ask.only, MinVersion: ask.MinVersion, Wait: wait,
+	}
+	if ask.limited {
+		// The one endpoint that is left may be the one that failed.
+		request.Avoid = nil
 	}
 	if deadline, set := ctx.Deadline(); set {
 		request.Wait = max(min(request.Wait, time.Until(deadline)), 0)
--- a/src/pool/wire.go
+++ b/src/pool/wire.go
@@ -26,10 +26,12 @@
 	Prefix      string
 	Fingerprint string
 	// Crashes counts the endpoints that the content has crashed.
-	Crashes    int
-	Suspect    bool
-	Urgent     bool
-	Avoid      []string
+	Crashes int
+	Suspect bool
+	Urgent  bool
+	Avoid   []string
+	// Only names the endpoints that the request may use; any if empty.
+	Only       []string
 	MinVersion int64
 	// Wait is how long the owner may hold the call.
 	Wait time.Duration
--- a/src/rollout/rollout.go
+++ b/src/rollout/rollout.go
@@ -40,6 +40,9 @@
 	MinVersion func() int64
 	Sampling   endpoint.Sampling
 	Secret     string
+	// Only names the endpoints that the request may use, if it is limited; nil if
+	// it never is.
+	Only func() (endpoints []string, limited bool)
 	// Placed is told each endpoint that the request is sent to.
 	Placed func(endpoint string)
 }
@@ -160,7 +163,7 @@
 		Label: request.ID, Pool: request.Model, Workspace: request.Workspace, Weight: request.Weight,
 		Interactive: request.Interactive, Tokens: request.MaxTokens, Deadline: request.Deadline,
 		Prefix:      sesamepitch.Fingerprint(request.Prompt[:min(len(request.Prompt), prefixBytes)]),
-		Fingerprint: fingerprint, Urgent: request.Urgent, Avoid: avoid,
+		Fingerprint: fingerprint, Urgent: request.Urgent, Avoid: avoid, Only: request.Only,
 		Suspect: r.notices.Crashes(fingerprint) > 0, MinVersion: request.MinVersion(),
 	}
 }
--- a/src/step/driver.go
+++ b/src/step/driver.go
@@ -9,7 +9,6 @@
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/document"
 	"sesamepitch/src/platform"
-	"sesamepitch/src/pool"
 )
 
 const (
@@ -20,11 +19,9 @@
 	soon         = 250 * time.Millisecond
 	late         = 2 * time.Second
 	windowShrink = 0.95
-	// unprovenSamples is how many samples of a prompt run before one is whole.
-	unprovenSamples = pool.QuarantineAfter
-	batchSize       = 64
-	batchDelay      = 100 * time.Millisecond
-	claimTime       = 1200 * time.Millisecond
+	batchSize    = 64
+	batchDelay   = 100 * time.Millisecond
+	claimTime    = 1200 * time.Millisecond
 	// While the table is known to be down, claims and commits are only tried.
 	claimTry    = 300 * time.Millisecond
 	downMemory  = 4 * time.Second
@@ -53,17 +50,19 @@
 	delivery Delivery
 	hedger   *hedger
 
-	missing  []Identity
-	groups   map[int]*groupState
-	have     map[Identity]bool
-	under    map[Identity]*running
-	results  chan finished
-	ready    []Sample
-	backlog  []*entry
-	failing  time.Time
-	retryAt  time.Time
-	finishes int
-	window   float64
+	missing []Identity
+	groups  map[int]*pins
+	have    map[Identity]bool
+	under   map[Identity]*running
+	results chan finished
+	// placements receives after a sample has got its endpoint.
+	placements chan struct{}
+	ready      []Sample
+	backlog    []*entry
+	failing    time.Time
+	retryAt    time.Time
+	finishes   int
+	window     float64
 }
 
 func (d *driver) drive(ctx context.Context) (Result, error) {
@@ -201,6 +200,8 @@
 			if len(d.ready) >= batchSize || (len(d.under) == 0 && len(d.missing) == 0) {
 				return nil
 			}
+		case <-d.placements:
+			d.launch(ctx)
 		case <-timer:
 			d.hedge(ctx)
 			return nil
--- a/src/step/sampling.go
+++ b/src/step/sampling.go
@@ -45,11 +45,11 @@
 			break
 		}
 		group := d.group(identity)
-		if !group.proven && group.running >= unprovenSamples {
+		if !group.mayStart(identity) {
 			kept = append(kept, identity)
 			continue
 		}
-		group.running++
+		group.start(identity)
 		sampling, cancel := context.WithCancel(ctx)
 		r := &running{cancel: cancel}
 		d.under[identity] = r
@@ -58,17 +58,10 @@
 	d.missing = kept
 }
 
-// groupState is what the driver knows of a group's prompt. Until one sample is
-// whole, only as many run as the prompt may crash endpoints.
-type groupState struct {
-	running int
-	proven  bool
-}
-
-func (d *driver) group(identity Identity) *groupState {
+func (d *driver) group(identity Identity) *pins {
 	group := d.groups[identity.Group]
 	if group == nil {
-		group = &groupState{}
+		group = newPins()
 		d.groups[identity.Group] = group
 	}
 	return group
@@ -77,28 +70,33 @@
 func (d *driver) start(ctx context.Context, identity Identity, r *running, hedge bool) {
 	r.attempts++
 	d.finishes++
-	go func() { d.results <- d.sample(ctx, identity, r, hedge) }()
+	request := d.request(identity, r, hedge)
+	go func() { d.results <- d.sample(ctx, identity, request) }()
 }
 
 func (d *driver) request(identity Identity, r *running, hedge bool) rollout.Request {
-	group := d.open.Spec.Groups[identity.Group]
+	group, where := d.open.Spec.Groups[identity.Group], d.group(identity)
 	left := d.deadline.Sub(d.m.clock.Now())
 	request := rollout.Request{
 		ID: fmt.Sprintf("%s/%d/%d.%d", d.trainer.Name, d.open.Spec.Step, identity.Group, identity.Index), Workspace: d.trainer.Workspace, Weight: d.weight, Model: d.trainer.Model,
 		Prompt: group.Prompt, MaxTokens: group.MaxTokens, Deadline: d.deadline,
 		Urgent: hedge || left < d.trainer.Time()/urgentShare, MinVersion: d.floor, Secret: d.open.Secret,
-		Placed: func(endpoint string) { r.placed.Store(&placed{endpoint: endpoint, at: d.m.clock.Now()}) },
+		Only: func() ([]string, bool) { return where.only(identity) },
+		Placed: func(endpoint string) {
+			where.place(identity, endpoint)
+			r.placed.Store(&placed{endpoint: endpoint, at: d.m.clock.Now()})
+			d.wake()
+		},
 	}
 	if first := r.placed.Load(); hedge && first != nil {
 		request.Avoid = []string{first.endpoint}
-		request.Placed = nil
+		request.Placed, request.Only = nil, nil
 	}
 	return request
 }
 
 // sample generates and judges one sample.
-func (d *driver) sample(ctx context.Context, identity Identity, r *running, hedge bool) finished {
-	request := d.request(identity, r, hedge)
+func (d *driver) sample(ctx context.Context, identity Identity, request rollout.Request) finished {
 	started := d.m.clock.Now()
 	generation, err := d.m.generator.Generate(ctx, request, nil, false)
 	if err != nil {
@@ -132,7 +130,7 @@
 	}
 	r.cancel()
 	d.ended(f.identity)
-	d.group(f.identity).proven = true
+	d.group(f.identity).prove()
 	if f.sample.oldest() < d.floor() {
 		d.missing = append(d.missing, f.identity)
 		return nil
@@ -143,6 +141,14 @@
 	return nil
 }
 
+// wake lets the driver start samples that waited for another one's endpoint.
+func (d *driver) wake() {
+	select {
+	case d.placements <- struct{}{}:
+	default:
+	}
+}
+
 // resize adapts the number of samples under way to how long streams are waited
 // for, so that waiting requests do not load the owners.
 func (d *driver) resize(queued time.Duration) {
@@ -172,7 +178,7 @@
 
 func (d *driver) ended(identity Identity) {
 	delete(d.under, identity)
-	d.group(identity).running--
+	d.group(identity).end(identity)
 }
 
 // hedge gives stragglers a second attempt.
@@ -180,7 +186,7 @@
 	now := d.m.clock.Now()
 	for identity, r := range d.under {
 		first := r.placed.Load()
-		if r.hedged || first == nil || !d.hedger.wants(identity.Group, now.Sub(first.at)) {
+		if r.hedged || first == nil || !d.group(identity).mayHedge(identity) || !d.hedger.wants(identity.Group, now.Sub(first.at)) {
 			continue
 		}
 		r.hedged = true
