Work that can be redone fills cheap engines first; a stream's pace ends probation

Cause: spend. The draw of a cheap engine was 0.1 of its load, less than a cached prefix, and a data centre without free cheap streams was taken before another with some. Probation of an idle engine lasted until a whole answer, minutes at real size.

Ruled out: waiting for cheap streams (it would buy spend with idle time).

Change: until it is full a cheap engine that is no slower than 1.5 times the median is taken before others; thrifty requests ask all cells in reach for a cheap stream first. A renewal tells the owner the pace of running streams, which ends probation, or cools the engine. A cell's load is put together in one place.

--- a/src/command/options.go
+++ b/src/command/options.go
@@ -139,7 +139,7 @@
 // LoadOptions are the options of load.
 type LoadOptions struct {
 	Preset   string   `long:"preset" env:"SESAMEPITCH_PRESET" description:"deployment" choice:"gelaenderwerk" choice:"guild" default:"gelaenderwerk"`
-	Scenario string   `long:"scenario" env:"SESAMEPITCH_SCENARIO" description:"what happens during the run" choice:"steady" choice:"stragglers" choice:"neighbour" choice:"weights" choice:"reclaim" choice:"cold" choice:"centre" choice:"no-cheap" choice:"store-down" choice:"light" default:"steady"`
+	Scenario string   `long:"scenario" env:"SESAMEPITCH_SCENARIO" description:"what happens during the run" choice:"steady" choice:"stragglers" choice:"neighbour" choice:"weights" choice:"reclaim" choice:"cold" choice:"centre" choice:"no-cheap" choice:"store-down" choice:"light" choice:"members-only" default:"steady"`
 	Seed     uint64   `long:"seed" env:"SESAMEPITCH_SEED" description:"first seed of the work" default:"1"`
 	Seeds    uint64   `long:"seeds" env:"SESAMEPITCH_SEEDS_COUNT" description:"number of seeds, one after the other" default:"1"`
 	Steps    int      `long:"steps" env:"SESAMEPITCH_STEPS" description:"steps of each trainer" default:"3"`
--- a/src/load/load.go
+++ b/src/load/load.go
@@ -34,6 +34,8 @@
 	NoCheap    = "no-cheap"
 	StoreDown  = "store-down"
 	Light      = "light"
+	// MembersOnly has no trainers, for the members' latency alone.
+	MembersOnly = "members-only"
 )
 
 const (
@@ -46,6 +48,7 @@
 	memberTokens    = 12
 	neighbourRate   = 10
 	lightGroups     = 1
+	aloneFor        = 8 * time.Second
 	coldFor         = 2 * time.Second
 	weightsEvery    = 3 * time.Second
 	reclaimNotice   = 1500 * time.Millisecond
@@ -246,6 +249,10 @@
 	if e.settings.Scenario == Neighbour && i == 0 {
 		steps = 1
 	}
+	if e.settings.Scenario == MembersOnly {
+		time.Sleep(aloneFor)
+		return
+	}
 	for number := 1; number <= steps; number++ {
 		groups := e.workOf(i, number)
 		begun := time.Now()
--- a/src/placement/placement.go
+++ b/src/placement/placement.go
@@ -44,6 +44,8 @@
 	Unproven bool
 	// Reserve is how many streams of each endpoint are kept for interactive work.
 	Reserve int
+	// CheapOnly requests run on reclaimable endpoints.
+	CheapOnly bool
 	// Only names the endpoints that the request may use; any if empty.
 	Only []string
 }
@@ -63,8 +65,12 @@
 	// reclaimCost keeps urgent and interactive work off reclaimable endpoints
 	// while others have room.
 	reclaimCost = 2.0
-	// cheapGain draws work that can be redone to reclaimable endpoints.
-	cheapGain = 0.1
+	// cheapGain draws work that can be redone to reclaimable endpoints until they
+	// are full: up to its knee an endpoint is as fast as an empty one.
+	cheapGain = 1.5
+	// cheapSlowest is the time of a token, relative to the pool's median, from which
+	// a lower price draws no work.
+	cheapSlowest = 1.5
 	// slowLimit is the time of a token, relative to the pool's median, from which
 	// an endpoint gets no work while others are fast.
 	slowLimit = 3.0
@@ -140,6 +146,8 @@
 	switch {
 	case len(request.Only) > 0 && !slices.Contains(request.Only, c.Name):
 		return "unproven"
+	case request.CheapOnly && !(c.Reclaimable && c.Slowness < cheapSlowest):
+		return "dear"
 	case c.Leaving:
 		return "leaving"
 	case c.Broken:
@@ -168,7 +176,7 @@
 	switch {
 	case c.Reclaimable && (request.Interactive || request.Urgent):
 		score += reclaimCost
-	case c.Reclaimable:
+	case c.Reclaimable && c.Slowness < cheapSlowest:
 		score -= cheapGain
 	}
 	return score
--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -40,6 +40,7 @@
 	tokens  int
 	renewed time.Time
 	revoked bool
+	granted time.Time
 	life    int
 	// healthy tells whether the endpoint had shown life since its last failure.
 	healthy bool
@@ -232,7 +233,7 @@
 func (c *cell) placementRequest(now time.Time, r Request) placement.Request {
 	return placement.Request{
 		MinVersion: r.MinVersion, Avoid: r.Avoid, Interactive: r.Interactive,
-		Urgent: r.Urgent, Suspect: r.Suspect, Unproven: r.Fingerprint != "" && !c.contents.isProven(r.Fingerprint), Reserve: c.reserve(now), Only: c.only(r),
+		Urgent: r.Urgent, Suspect: r.Suspect, Unproven: r.Fingerprint != "" && !c.contents.isProven(r.Fingerprint), Reserve: c.reserve(now), Only: c.only(r), CheapOnly: r.CheapOnly,
 	}
 }
 
@@ -261,7 +262,7 @@
 		return nil
 	}
 	var granted []placed
-	for c.queue.Len() > 0 && c.free(now, view) > 0 {
+	for c.queue.Len() > 0 && c.hasFree(now, view) {
 		var decision placement.Decision
 		item, found := c.queue.Next(func(item share.Item) bool {
 			r := c.waiters[item.ID].request
@@ -280,15 +281,34 @@
 	return granted
 }
 
-// free counts the streams that are not in use.
-func (c *cell) free(now time.Time, view *centre.View) int {
-	free := 0
+// free counts the streams that are not in use, and those of them on reclaimable
+// endpoints.
+func (c *cell) free(now time.Time, view *centre.View) (all, cheap int) {
 	for name, state := range c.endpoints {
-		if !now.Before(state.brokenTo) && !view.IsLeaving(name) {
-			free += max(state.limit(view.Uncertain)-state.running, 0)
+		if now.Before(state.brokenTo) || view.IsLeaving(name) {
+			continue
+		}
+		free := max(state.limit(view.Uncertain)-state.running, 0)
+		all += free
+		if state.config.Reclaimable {
+			cheap += free
 		}
 	}
-	return free
+	return all, cheap
+}
+
+func (c *cell) hasFree(now time.Time, view *centre.View) bool {
+	all, _ := c.free(now, view)
+	return all > 0
+}
+
+// load describes the cell in a reply.
+func (c *cell) load(now time.Time, view *centre.View, state State) Reply {
+	reply := Reply{State: state, Queued: c.queue.Len(), Capacity: c.capacity(view)}
+	if !now.Before(c.openAt) {
+		reply.Free, reply.FreeCheap = c.free(now, view)
+	}
+	return reply
 }
 
 // capacity counts the streams that the cell may have.
@@ -338,7 +358,7 @@
 	c.contents.sent(r.Fingerprint, endpoint, now)
 	c.grants[r.ID] = &grant{
 		held:  Held{ID: r.ID, Endpoint: endpoint, Workspace: r.Workspace, Fingerprint: r.Fingerprint, Suspect: r.Suspect},
-		entry: r.Entry, run: r.Run, weight: r.Weight, tokens: r.Tokens, renewed: now, life: state.life, healthy: state.isSound(),
+		entry: r.Entry, run: r.Run, weight: r.Weight, tokens: r.Tokens, renewed: now, granted: now, life: state.life, healthy: state.isSound(),
 	}
 }
 
@@ -448,6 +468,21 @@
 	}
 }
 
+// learnPace ends an engine's probation, or its warmth, by how fast a stream runs
+// that was granted since: its whole answer may take minutes.
+func (c *cell) learnPace(g *grant, tokenTime time.Duration) {
+	state := c.endpoints[g.held.Endpoint]
+	if state == nil || tokenTime <= 0 || !state.probation || g.granted.Before(state.probationSince) {
+		return
+	}
+	switch {
+	case state.slowedDown(tokenTime):
+		c.cool(g.held.Endpoint)
+	case state.reportedWarmAt.After(state.probationSince):
+		state.probation = false
+	}
+}
+
 // wakeUp puts an engine on probation that had nothing to do for a while.
 func (e *endpointState) wakeUp(now time.Time) {
 	if e.running == 0 && !e.idleSince.IsZero() && now.Sub(e.idleSince) > idleTrust && e.config.Model != "" {
--- a/src/pool/choose.go
+++ b/src/pool/choose.go
@@ -30,6 +30,7 @@
 type cellLoad struct {
 	at       time.Time
 	free     int
+	cheap    int
 	queued   int
 	capacity int
 	state    State
@@ -114,6 +115,26 @@
 	return nil, worst
 }
 
+// takeCheap asks the cells for a free stream of a reclaimable endpoint, if the
+// request wants one; those that had none a moment ago are not asked.
+func (c *Client) takeCheap(ctx context.Context, ask Ask, options []option, waited time.Duration) (*Stream, Reply) {
+	if !ask.Thrifty || ask.Urgent {
+		return nil, Reply{}
+	}
+	ask.cheapOnly = true
+	for _, o := range options {
+		load := c.loadOf(o)
+		if load.cheap <= 0 && c.clock.Now().Sub(load.at) < loadMemory {
+			continue
+		}
+		stream, reply := c.try(ctx, ask, o, waited, 0)
+		if stream != nil || reply.State == Quarantined {
+			return stream, reply
+		}
+	}
+	return nil, Reply{}
+}
+
 // queue waits in the cell that has the fewest requests of the workspace from
 // here for its size, so that the workspace gets its share of each cell; of two
 // alike, the shorter queue. The own data centre counts as nearer.
@@ -173,7 +194,7 @@
 func (c *Client) noteLoad(o option, reply Reply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.loads[o.key()] = cellLoad{at: c.clock.Now(), free: reply.Free, queued: reply.Queued, capacity: reply.Capacity, state: reply.State}
+	c.loads[o.key()] = cellLoad{at: c.clock.Now(), free: reply.Free, cheap: reply.FreeCheap, queued: reply.Queued, capacity: reply.Capacity, state: reply.State}
 }
 
 func (c *Client) remoteCells(ctx context.Context, remote centre.Remote, pool string) []centre.Cell {
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	sesamepitch "sesamepitch/src"
@@ -61,7 +62,9 @@
 	Fingerprint string
 	Suspect     bool
 	Urgent      bool
-	Avoid       []string
+	// Thrifty requests look for a reclaimable endpoint first.
+	Thrifty bool
+	Avoid   []string
 	// Only names the endpoints that the request may use, if it is limited. It is
 	// asked again for each attempt; nil if the request is never limited.
 	Only       func() (endpoints []string, limited bool)
@@ -75,6 +78,8 @@
 	// only are the endpoints of the present attempt.
 	only    []string
 	limited bool
+	// cheapOnly is set while reclaimable endpoints are looked for.
+	cheapOnly bool
 }
 
 // Stream is a granted stream. Its context ends if the owner revokes it.
@@ -90,8 +95,13 @@
 	event    string
 	ctx      context.Context
 	cancel   context.CancelFunc
+	pace     atomic.Int64
 }
 
+// NotePace notes the time of a token so far; the owner is told with the next
+// renewal.
+func (s *Stream) NotePace(tokenTime time.Duration) { s.pace.Store(int64(tokenTime)) }
+
 // ID returns the attempt's unique id.
 func (s *Stream) ID() string { return s.id }
 
@@ -181,7 +191,10 @@
 			continue
 		}
 		waited := c.clock.Now().Sub(started)
-		stream, reply := c.takeFree(ctx, *ask, options, waited)
+		stream, reply := c.takeCheap(ctx, *ask, options, waited)
+		if stream == nil {
+			stream, reply = c.takeFree(ctx, *ask, options, waited)
+		}
 		if stream == nil && reply.State == Waiting {
 			stream, reply = c.queue(ctx, *ask, options, waited)
 		}
@@ -245,7 +258,7 @@
 		ID: uuid.NewString(), Entry: self.Address, Run: self.Incarnation, Cell: o.cell.ID,
 		Workspace: ask.Workspace, Weight: ask.Weight, Interactive: ask.Interactive, Tokens: ask.Tokens,
 		Slack: ask.Deadline.Sub(c.clock.Now()), Waited: waited, Prefix: ask.Prefix, Fingerprint: ask.Fingerprint,
-		Suspect: ask.Suspect, Urgent: ask.Urgent, Avoid: ask.Avoid, Only: ask.only, MinVersion: ask.MinVersion, Wait: wait,
+		Suspect: ask.Suspect, Urgent: ask.Urgent, Avoid: ask.Avoid, Only: ask.only, CheapOnly: ask.cheapOnly, MinVersion: ask.MinVersion, Wait: wait,
 	}
 	if ask.limited {
 		// The one endpoint that is left may be the one that failed.
--- a/src/pool/owner.go
+++ b/src/pool/owner.go
@@ -110,7 +110,7 @@
 			return supervisor.Every(ctx, o.clock, housekeeping, func(context.Context) { o.KeepCells() })
 		}),
 		supervisor.NewWorker("load-reports", func(ctx context.Context) error {
-			return supervisor.Every(ctx, o.clock, housekeeping, o.readLoads)
+			return supervisor.Every(ctx, o.clock, housekeeping, o.ReadLoads)
 		}),
 	}
 }
@@ -198,11 +198,10 @@
 		}
 		o.log.Info("placement", "request", r.ID, "workspace", r.Workspace, "pool", state.id.Pool,
 			"endpoint", p.decision.Endpoint, "reason", p.decision.Reason, "passed", p.decision.Passed, "queued", state.queue.Len())
-		p.waiter.reply <- Reply{
-			State: Granted, Endpoint: p.decision.Endpoint, Address: endpoint.config.Address,
-			Reason: p.decision.Reason, Passed: p.decision.Passed, Queued: state.queue.Len(),
-			Free: state.free(o.clock.Now(), o.node.View()), Capacity: state.capacity(o.node.View()), Event: event,
-		}
+		reply := state.load(o.clock.Now(), o.node.View(), Granted)
+		reply.Endpoint, reply.Address = p.decision.Endpoint, endpoint.config.Address
+		reply.Reason, reply.Passed, reply.Event = p.decision.Reason, p.decision.Passed, event
+		p.waiter.reply <- reply
 	}
 }
 
@@ -273,8 +272,7 @@
 	}
 	state.queue.Remove(r.ID)
 	delete(state.waiters, r.ID)
-	view := o.node.View()
-	return Reply{State: Waiting, Queued: state.queue.Len(), Free: state.free(o.clock.Now(), view), Capacity: state.capacity(view)}
+	return state.load(o.clock.Now(), o.node.View(), Waiting)
 }
 
 // Release ends a stream and learns from its outcome.
@@ -325,12 +323,7 @@
 	if state == nil || !o.node.Owns(id) {
 		return Reply{State: Moved}
 	}
-	now, view := o.clock.Now(), o.node.View()
-	reply := Reply{State: Waiting, Queued: state.queue.Len(), Capacity: state.capacity(view)}
-	if !now.Before(state.openAt) {
-		reply.Free = state.free(now, view)
-	}
-	return reply
+	return state.load(o.clock.Now(), o.node.View(), Waiting)
 }
 
 // noteCrash holds a crash against the content that broke off, unless it has
@@ -375,16 +368,18 @@
 			continue
 		}
 		g.renewed = now
+		state.learnPace(g, held.TokenTime)
 		if g.revoked {
 			reply.Revoked = append(reply.Revoked, held.ID)
 		}
 	}
+	o.dispatch(state)
 	return reply
 }
 
-// readLoads compares the engines' lagging reports with what is known of them;
+// ReadLoads compares the engines' lagging reports with what is known of them;
 // those on probation are asked more often.
-func (o *Owner) readLoads(ctx context.Context) {
+func (o *Owner) ReadLoads(ctx context.Context) {
 	now := o.clock.Now()
 	all := now.Sub(o.loadsAt) >= loadEvery
 	if all {
--- a/src/pool/owner_test.go
+++ b/src/pool/owner_test.go
@@ -21,6 +21,8 @@
 type membership struct {
 	view *centre.View
 	owns bool
+	// loaded is whether the engines report that they are warm.
+	loaded bool
 }
 
 func (m *membership) View() *centre.View        { return m.view }
@@ -28,6 +30,9 @@
 func (m *membership) NoteVersion(string, int64) {}
 func (m *membership) NoteWarm([]string)         {}
 func (m *membership) ReadLoad(context.Context, string) (pool.Load, error) {
+	if m.loaded {
+		return pool.Load{}, nil
+	}
 	return pool.Load{}, context.Canceled
 }
 
@@ -243,6 +248,40 @@
 	assert.Equal(t, second.State, pool.Waiting, "the engine may have started anew meanwhile")
 }
 
+// TestPaceEndsProbation lets a running stream show that its engine is as fast as
+// before, or not; its whole answer may be minutes away.
+func TestPaceEndsProbation(t *testing.T) {
+	cases := []struct {
+		name      string
+		tokenTime time.Duration
+		more      int
+	}{
+		{"as fast as before", time.Millisecond, 1}, // Its ramp stands at half of its knee, 2.
+		{"slower", 3 * time.Millisecond, 0},
+		{"not known yet", 0, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench("e1")
+			b.member.view.Cells[0].Endpoints = []string{"e1"}
+			b.owner.KeepCells()
+			r, reply := b.acquire(nil)
+			b.release(r, reply.Endpoint, pool.Whole)
+			r, reply = b.acquire(nil)
+			b.release(r, reply.Endpoint, pool.Whole)
+			b.clock.Advance(time.Second)
+			r, reply = b.acquire(nil)
+			assert.Equal(t, reply.State, pool.Granted)
+			assert.Equal(t, b.granted(), 0, "on probation")
+			b.clock.Advance(time.Second)
+			b.member.loaded = true
+			b.owner.ReadLoads(t.Context())
+			b.owner.Renew(pool.Renewal{Entry: "d1", Run: "run", Cell: cellID, Held: []pool.Held{{ID: r.ID, Endpoint: "e1", TokenTime: test.tokenTime}}})
+			assert.Equal(t, b.granted(), test.more)
+		})
+	}
+}
+
 func other(endpoint string) string {
 	if endpoint == "e1" {
 		return "e2"
--- a/src/pool/renew.go
+++ b/src/pool/renew.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"sesamepitch/src/centre"
 )
@@ -17,7 +18,7 @@
 		if byOwner[s.owner] == nil {
 			byOwner[s.owner] = map[centre.CellID][]Held{}
 		}
-		held := Held{ID: s.id, Endpoint: s.endpoint, Workspace: s.ask.Workspace, Fingerprint: s.ask.Fingerprint, Suspect: s.ask.Suspect}
+		held := Held{ID: s.id, Endpoint: s.endpoint, Workspace: s.ask.Workspace, Fingerprint: s.ask.Fingerprint, Suspect: s.ask.Suspect, TokenTime: time.Duration(s.pace.Load())}
 		byOwner[s.owner][s.cell] = append(byOwner[s.owner][s.cell], held)
 	}
 	c.mu.Unlock()
--- a/src/pool/wire.go
+++ b/src/pool/wire.go
@@ -31,7 +31,9 @@
 	Urgent  bool
 	Avoid   []string
 	// Only names the endpoints that the request may use; any if empty.
-	Only       []string
+	Only []string
+	// CheapOnly limits the request to reclaimable endpoints.
+	CheapOnly  bool
 	MinVersion int64
 	// Wait is how long the owner may hold the call.
 	Wait time.Duration
@@ -66,6 +68,8 @@
 	Queued   int
 	Free     int
 	Capacity int
+	// FreeCheap counts the free streams of reclaimable endpoints.
+	FreeCheap int
 	// Event names the crash that the endpoint's breaking off would be; empty if
 	// it would say nothing of the content.
 	Event string
@@ -134,6 +138,8 @@
 	Workspace   string
 	Fingerprint string
 	Suspect     bool
+	// TokenTime is the time of a token so far; zero while that is not known.
+	TokenTime time.Duration
 }
 
 // Renewal keeps an entry's streams granted, also towards a new owner.
--- a/src/rollout/rollout.go
+++ b/src/rollout/rollout.go
@@ -34,8 +34,10 @@
 	MaxTokens   int
 	Interactive bool
 	Urgent      bool
-	Deadline    time.Time
-	Avoid       []string
+	// Thrifty requests look for a reclaimable endpoint before they take another.
+	Thrifty  bool
+	Deadline time.Time
+	Avoid    []string
 	// MinVersion returns the oldest weight version allowed at the time.
 	MinVersion func() int64
 	Sampling   endpoint.Sampling
@@ -116,6 +118,15 @@
 	passedOn   bool
 }
 
+// tokenTime is the mean time of a token since the first one; zero before the
+// second one.
+func (a *attempt) tokenTime(now time.Time) time.Duration {
+	if a.generation.tokens < 2 || a.firstAt.IsZero() {
+		return 0
+	}
+	return now.Sub(a.firstAt) / time.Duration(a.generation.tokens-1)
+}
+
 // Generate runs one generation. Billed generations are recorded as usage
 // before Generate returns.
 func (r *Runner) Generate(ctx context.Context, request Request, sink Sink, billed bool) (Generation, error) {
@@ -163,7 +174,7 @@
 		Label: request.ID, Pool: request.Model, Workspace: request.Workspace, Weight: request.Weight,
 		Interactive: request.Interactive, Tokens: request.MaxTokens, Deadline: request.Deadline,
 		Prefix:      sesamepitch.Fingerprint(request.Prompt[:min(len(request.Prompt), prefixBytes)]),
-		Fingerprint: fingerprint, Urgent: request.Urgent, Avoid: avoid, Only: request.Only,
+		Fingerprint: fingerprint, Urgent: request.Urgent, Thrifty: request.Thrifty, Avoid: avoid, Only: request.Only,
 		Suspect: r.notices.Crashes(fingerprint) > 0, MinVersion: request.MinVersion(),
 	}
 }
@@ -182,6 +193,7 @@
 		}
 		versions[chunk.Version] = true
 		a.generation.tokens += chunk.Tokens
+		stream.NotePace(a.tokenTime(r.clock.Now()))
 		a.generation.milliCost += int64(chunk.Tokens) * price
 		if sink == nil {
 			text.WriteString(chunk.Text)
@@ -204,9 +216,7 @@
 	if count := len(a.generation.versions); count > 0 {
 		release.Version = a.generation.versions[count-1]
 	}
-	if a.generation.tokens > 1 && !a.firstAt.IsZero() {
-		release.TokenTime = r.clock.Now().Sub(a.firstAt) / time.Duration(a.generation.tokens-1)
-	}
+	release.TokenTime = a.tokenTime(r.clock.Now())
 	if billed && (err == nil || a.passedOn) && a.generation.tokens > 0 {
 		release.Billed = true
 		release.Receipt = r.recorder.Record(stream.Workspace(), a.generation.tokens, a.generation.milliCost)
--- a/src/step/driver.go
+++ b/src/step/driver.go
@@ -41,10 +41,12 @@
 
 // driver is one step at the daemon that drives it.
 type driver struct {
-	m        *Manager
-	open     Open
-	trainer  document.Trainer
-	weight   int
+	m       *Manager
+	open    Open
+	trainer document.Trainer
+	weight  int
+	// thrifty is whether any endpoint of the model is reclaimable.
+	thrifty  bool
 	deadline time.Time
 	ledger   *ledger
 	delivery Delivery
--- a/src/step/manager.go
+++ b/src/step/manager.go
@@ -110,6 +110,9 @@
 			window: func() usage.Window { return usage.WindowAt(m.clock.Now(), m.length) },
 		},
 	}
+	for _, e := range m.holder.Current().Document().Endpoints {
+		d.thrifty = d.thrifty || (e.Model == trainer.Model && e.Reclaimable)
+	}
 	for _, identity := range open.Have {
 		d.have[identity] = true
 	}
--- a/src/step/sampling.go
+++ b/src/step/sampling.go
@@ -80,7 +80,7 @@
 	request := rollout.Request{
 		ID: fmt.Sprintf("%s/%d/%d.%d", d.trainer.Name, d.open.Spec.Step, identity.Group, identity.Index), Workspace: d.trainer.Workspace, Weight: d.weight, Model: d.trainer.Model,
 		Prompt: group.Prompt, MaxTokens: group.MaxTokens, Deadline: d.deadline,
-		Urgent: hedge || left < d.trainer.Time()/urgentShare, MinVersion: d.floor, Secret: d.open.Secret,
+		Urgent: hedge || left < d.trainer.Time()/urgentShare, Thrifty: d.thrifty, MinVersion: d.floor, Secret: d.open.Secret,
 		Only: func() ([]string, bool) { return where.only(identity) },
 		Placed: func(endpoint string) {
 			where.place(identity, endpoint)
