A group keeps to one endpoint until one of its samples is whole; a pace is told at once

TestPoison under race: 5 crashes of 4; a sample whose endpoint had crashed chose a third one while another sample's request was still on its way to a second.

Change: all samples of an unproven prompt use one endpoint at a time, counted with every request under way that was told it; a crash ends the attempts of the same content. An engine on probation is asked for its report at once, and the entry tells the first pace of a stream there at once.

Before: TestPinsKeepToTwoEndpoints failed on the first design ("runs on e1, e2 and has crashed e2"). After: it passes, TestPoison passed 3 of 3 under race, TestColdStart and TestIdleEngine twice.

--- a/src/pool/choose.go
+++ b/src/pool/choose.go
@@ -61,8 +61,8 @@
 // have one of them.
 func (c *Client) limit(ask *Ask, options []option) []option {
 	ask.only, ask.limited = nil, false
-	if ask.Only != nil {
-		ask.only, ask.limited = ask.Only()
+	if ask.Limiter != nil {
+		ask.only, ask.limited = ask.Limiter.Only()
 	}
 	if !ask.limited {
 		return options
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -48,6 +48,14 @@
 	Centre() string
 }
 
+// Limiter limits a request to some endpoints, as others like it find theirs.
+type Limiter interface {
+	// Only is asked before each attempt for the endpoints that may be used then.
+	Only() (endpoints []string, limited bool)
+	// Rest is told that an attempt got no stream.
+	Rest()
+}
+
 // Ask is what a caller's request needs of a stream.
 type Ask struct {
 	// Label names the request in the log.
@@ -65,9 +73,8 @@
 	// Thrifty requests look for a reclaimable endpoint first.
 	Thrifty bool
 	Avoid   []string
-	// Only names the endpoints that the request may use, if it is limited. It is
-	// asked again for each attempt; nil if the request is never limited.
-	Only       func() (endpoints []string, limited bool)
+	// Limiter limits the request to some endpoints; nil if it may use any.
+	Limiter    Limiter
 	MinVersion int64
 
 	// ctx is that of the whole request, also while it waits in one cell.
@@ -96,11 +103,25 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	pace     atomic.Int64
+	// awaited receives, once, when the pace is known that the owner waits for.
+	awaited chan struct{}
+}
+
+// NotePace notes the time of a token so far. The owner is told with the next
+// renewal, or at once if the endpoint is on probation.
+func (s *Stream) NotePace(tokenTime time.Duration) {
+	if s.pace.Swap(int64(tokenTime)) == 0 && tokenTime > 0 && s.awaited != nil {
+		wake(s.awaited)
+	}
 }
 
-// NotePace notes the time of a token so far; the owner is told with the next
-// renewal.
-func (s *Stream) NotePace(tokenTime time.Duration) { s.pace.Store(int64(tokenTime)) }
+// wake lets a worker go on that waits for this channel.
+func wake(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
 
 // ID returns the attempt's unique id.
 func (s *Stream) ID() string { return s.id }
@@ -128,10 +149,14 @@
 	remote  map[string]remoteCells
 	loads   map[string]cellLoad
 	scouts  *scouts
+	// suspects are the attempts under way by content.
+	suspects *attempts
 	// turns holds the suspected contents of which one request is under way.
 	turns map[string]bool
 	// mine counts this daemon's requests by cell and workspace.
 	mine map[string]int
+	// renewNow receives when owners should be told of the streams at once.
+	renewNow chan struct{}
 }
 
 var errCrashes = errors.New("content crashed endpoints")
@@ -141,7 +166,7 @@
 func NewClient(clock sesamepitch.Clock, log logr.Logger, dir Directory, dialer *peer.Dialer, notices *notice.Set, local *Owner, books func() Books) *Client {
 	return &Client{
 		clock: clock, log: log, dir: dir, dialer: dialer, notices: notices, local: local, books: books,
-		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, loads: map[string]cellLoad{}, scouts: newScouts(), mine: map[string]int{}, turns: map[string]bool{},
+		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, loads: map[string]cellLoad{}, scouts: newScouts(), suspects: newAttempts(), mine: map[string]int{}, renewNow: make(chan struct{}, 1), turns: map[string]bool{},
 	}
 }
 
@@ -149,7 +174,7 @@
 func (c *Client) Workers() []supervisor.Worker {
 	return []supervisor.Worker{
 		supervisor.NewWorker("renewals", func(ctx context.Context) error {
-			return supervisor.Every(ctx, c.clock, renewEvery, c.renew)
+			return supervisor.EveryOr(ctx, c.clock, renewEvery, c.renewNow, c.renew)
 		}),
 		supervisor.NewWorker("scout", func(ctx context.Context) error {
 			return supervisor.Every(ctx, c.clock, scoutEvery, c.scout)
@@ -185,22 +210,13 @@
 				continue
 			}
 		}
-		options := c.limit(ask, c.options(ctx, *ask))
-		if len(options) == 0 {
-			c.pause(ctx)
-			continue
-		}
-		waited := c.clock.Now().Sub(started)
-		stream, reply := c.takeCheap(ctx, *ask, options, waited)
-		if stream == nil {
-			stream, reply = c.takeFree(ctx, *ask, options, waited)
-		}
-		if stream == nil && reply.State == Waiting {
-			stream, reply = c.queue(ctx, *ask, options, waited)
-		}
+		stream, reply := c.attempt(ctx, ask, c.clock.Now().Sub(started))
 		if stream != nil {
 			return stream, nil
 		}
+		if ask.Limiter != nil {
+			ask.Limiter.Rest()
+		}
 		if reply.State == Quarantined {
 			return nil, &Error{Op: "pool.acquire", Kind: sesamepitch.KindQuarantined, Err: fmt.Errorf("%s", reply.Reason)}
 		}
@@ -213,6 +229,22 @@
 	}
 }
 
+// attempt asks the cells once, and waits in one of them if all are full. A crash
+// of the content meanwhile ends it, since that changes where it may run.
+func (c *Client) attempt(ctx context.Context, ask *Ask, waited time.Duration) (*Stream, Reply) {
+	asking, done := c.suspects.enter(ctx, ask.Fingerprint)
+	defer done()
+	options := c.limit(ask, c.options(asking, *ask))
+	stream, reply := c.takeCheap(asking, *ask, options, waited)
+	if stream == nil {
+		stream, reply = c.takeFree(asking, *ask, options, waited)
+	}
+	if stream == nil && reply.State == Waiting {
+		stream, reply = c.queue(asking, *ask, options, waited)
+	}
+	return stream, reply
+}
+
 func (c *Client) pause(ctx context.Context) {
 	select {
 	case <-c.clock.After(retryPause/2 + rand.N(retryPause)):
@@ -243,6 +275,9 @@
 		id: request.ID, ask: ask, cell: o.cell.ID, cellKey: o.key(), centre: o.centre, owner: o.cell.Address,
 		endpoint: reply.Endpoint, address: reply.Address, event: reply.Event,
 	}
+	if reply.Probation {
+		stream.awaited = c.renewNow
+	}
 	stream.ctx, stream.cancel = context.WithCancel(ask.ctx)
 	c.mu.Lock()
 	c.streams[stream.id] = stream
@@ -300,6 +335,7 @@
 	if r.Outcome == Crashed && s.event != "" && s.ask.Fingerprint != "" {
 		// Known here at once, whichever data centre's owner hears of it.
 		c.notices.Add("", c.notices.NewCrash(s.ask.Fingerprint, s.event, self.Address))
+		c.suspects.leave(s.ask.Fingerprint)
 	}
 	c.mu.Lock()
 	delete(c.streams, s.id)
--- a/src/pool/owner.go
+++ b/src/pool/owner.go
@@ -63,6 +63,8 @@
 	shadow  Shadow
 	adopt   time.Duration
 
+	// reportNow receives when an engine on probation should be asked for its report.
+	reportNow chan struct{}
 	// loadsAt is when all engines were last asked for a report.
 	loadsAt time.Time
 
@@ -90,7 +92,7 @@
 func NewOwner(clock sesamepitch.Clock, log logr.Logger, node Membership, centreName string, holder *document.Holder, notices *notice.Set, loads LoadReader, options ...OwnerOption) *Owner {
 	o := &Owner{
 		clock: clock, log: log, node: node, centre: centreName, holder: holder, notices: notices, loads: loads,
-		adopt: defaultAdoption, cells: map[centre.CellID]*cell{},
+		adopt: defaultAdoption, cells: map[centre.CellID]*cell{}, reportNow: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(o)
@@ -110,7 +112,7 @@
 			return supervisor.Every(ctx, o.clock, housekeeping, func(context.Context) { o.KeepCells() })
 		}),
 		supervisor.NewWorker("load-reports", func(ctx context.Context) error {
-			return supervisor.Every(ctx, o.clock, housekeeping, o.ReadLoads)
+			return supervisor.EveryOr(ctx, o.clock, housekeeping, o.reportNow, o.ReadLoads)
 		}),
 	}
 }
@@ -200,6 +202,10 @@
 			"endpoint", p.decision.Endpoint, "reason", p.decision.Reason, "passed", p.decision.Passed, "queued", state.queue.Len())
 		reply := state.load(o.clock.Now(), o.node.View(), Granted)
 		reply.Endpoint, reply.Address = p.decision.Endpoint, endpoint.config.Address
+		reply.Probation = endpoint.probation
+		if endpoint.probation {
+			wake(o.reportNow)
+		}
 		reply.Reason, reply.Passed, reply.Event = p.decision.Reason, p.decision.Passed, event
 		p.waiter.reply <- reply
 	}
--- a/src/pool/wire.go
+++ b/src/pool/wire.go
@@ -68,6 +68,8 @@
 	Queued   int
 	Free     int
 	Capacity int
+	// Probation asks the entry to tell the stream's pace as soon as it is known.
+	Probation bool
 	// FreeCheap counts the free streams of reclaimable endpoints.
 	FreeCheap int
 	// Event names the crash that the endpoint's breaking off would be; empty if
--- a/src/rollout/rollout.go
+++ b/src/rollout/rollout.go
@@ -22,6 +22,8 @@
 const (
 	maxAttempts = 6
 	prefixBytes = 64
+	// paceTokens is how many tokens show how fast a stream runs.
+	paceTokens = 4
 )
 
 // Request is one generation to run.
@@ -42,9 +44,8 @@
 	MinVersion func() int64
 	Sampling   endpoint.Sampling
 	Secret     string
-	// Only names the endpoints that the request may use, if it is limited; nil if
-	// it never is.
-	Only func() (endpoints []string, limited bool)
+	// Limiter limits the request to some endpoints; nil if it may use any.
+	Limiter pool.Limiter
 	// Placed is told each endpoint that the request is sent to.
 	Placed func(endpoint string)
 }
@@ -174,7 +175,7 @@
 		Label: request.ID, Pool: request.Model, Workspace: request.Workspace, Weight: request.Weight,
 		Interactive: request.Interactive, Tokens: request.MaxTokens, Deadline: request.Deadline,
 		Prefix:      sesamepitch.Fingerprint(request.Prompt[:min(len(request.Prompt), prefixBytes)]),
-		Fingerprint: fingerprint, Urgent: request.Urgent, Thrifty: request.Thrifty, Avoid: avoid, Only: request.Only,
+		Fingerprint: fingerprint, Urgent: request.Urgent, Thrifty: request.Thrifty, Avoid: avoid, Limiter: request.Limiter,
 		Suspect: r.notices.Crashes(fingerprint) > 0, MinVersion: request.MinVersion(),
 	}
 }
@@ -193,7 +194,9 @@
 		}
 		versions[chunk.Version] = true
 		a.generation.tokens += chunk.Tokens
-		stream.NotePace(a.tokenTime(r.clock.Now()))
+		if a.generation.tokens >= paceTokens {
+			stream.NotePace(a.tokenTime(r.clock.Now()))
+		}
 		a.generation.milliCost += int64(chunk.Tokens) * price
 		if sink == nil {
 			text.WriteString(chunk.Text)
--- a/src/step/pins.go
+++ b/src/step/pins.go
@@ -1,14 +1,16 @@
 package step
 
 import (
+	"maps"
+	"slices"
 	"sync"
-
-	"sesamepitch/src/pool"
 )
 
-// pins say where the samples of one prompt may run. Until one of them is whole,
-// all together use no more endpoints than a prompt may crash: the first ones
-// choose theirs, the others run beside them.
+// pins say where the samples of one prompt may run. Until one of them is whole
+// all use one endpoint at a time: the first one chooses it, the others run beside
+// it. A prompt that crashes it has one more to crash before it is quarantined; and
+// one that is innocent is not quarantined for the loss of a rack or data centre,
+// which takes two endpoints at once.
 type pins struct {
 	mu      sync.Mutex
 	proven  bool
@@ -16,10 +18,12 @@
 }
 
 // pin is one sample under way. A scout chooses its endpoint itself; until it is
-// placed it counts as one more endpoint.
+// placed it counts as one. A sample that was told its endpoint may come to run on
+// it for as long as it asks.
 type pin struct {
 	endpoint string
 	scout    bool
+	told     []string
 }
 
 // turn is what a sample may do.
@@ -30,9 +34,9 @@
 	anywhere turn = iota
 	// scouting: the sample chooses an endpoint for its prompt.
 	scouting
-	// pinned: the sample runs on the endpoints that its prompt uses already.
+	// pinned: the sample runs on the endpoint that its prompt uses already.
 	pinned
-	// later: nobody knows yet which endpoints the prompt uses.
+	// later: nobody knows yet which endpoint the prompt uses.
 	later
 )
 
@@ -53,27 +57,27 @@
 			used[at.endpoint] = true
 		case at.scout:
 			unplaced++
+		default:
+			for _, endpoint := range at.told {
+				used[endpoint] = true
+			}
 		}
 	}
 	switch {
-	case len(used)+unplaced < pool.QuarantineAfter:
+	case len(used)+unplaced == 0:
 		return scouting, nil
-	case len(used) == 0:
+	case len(used) != 1:
 		return later, nil
 	}
-	names := make([]string, 0, len(used))
-	for name := range used {
-		names = append(names, name)
-	}
-	return pinned, names
+	return pinned, slices.Collect(maps.Keys(used))
 }
 
 // mayStart tells whether a sample can be started now.
 func (p *pins) mayStart(identity Identity) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t, names := p.turnOf(identity)
-	return t != later && (t != pinned || len(names) >= pool.QuarantineAfter)
+	t, _ := p.turnOf(identity)
+	return t != later
 }
 
 // start notes a sample that is started.
@@ -84,24 +88,33 @@
 	p.samples[identity] = &pin{scout: t == scouting}
 }
 
-// only implements the limit of pool.Ask: a sample that looks for an endpoint,
-// also after its last one failed, is told to which ones it is limited.
+// only tells a sample that looks for an endpoint, also after its last one
+// failed, to which ones it is limited.
 func (p *pins) only(identity Identity) (endpoints []string, limited bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, names := p.turnOf(identity)
 	if at := p.samples[identity]; at != nil {
-		at.endpoint, at.scout = "", t == scouting
+		*at = pin{scout: t == scouting, told: names}
 	}
 	return names, t == pinned || t == later
 }
 
+// rest notes that a sample got no endpoint and does not ask now.
+func (p *pins) rest(identity Identity) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at := p.samples[identity]; at != nil {
+		*at = pin{}
+	}
+}
+
 // place notes where a sample runs.
 func (p *pins) place(identity Identity, endpoint string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if at := p.samples[identity]; at != nil {
-		at.endpoint = endpoint
+		at.endpoint, at.told = endpoint, nil
 	}
 }
 
@@ -127,3 +140,15 @@
 	at := p.samples[identity]
 	return p.proven || (at != nil && at.scout)
 }
+
+// limiter implements pool.Limiter for one sample.
+type limiter struct {
+	pins     *pins
+	identity Identity
+}
+
+// Only implements pool.Limiter.
+func (l limiter) Only() (endpoints []string, limited bool) { return l.pins.only(l.identity) }
+
+// Rest implements pool.Limiter.
+func (l limiter) Rest() { l.pins.rest(l.identity) }
--- a/src/step/sampling.go
+++ b/src/step/sampling.go
@@ -81,7 +81,7 @@
 		ID: fmt.Sprintf("%s/%d/%d.%d", d.trainer.Name, d.open.Spec.Step, identity.Group, identity.Index), Workspace: d.trainer.Workspace, Weight: d.weight, Model: d.trainer.Model,
 		Prompt: group.Prompt, MaxTokens: group.MaxTokens, Deadline: d.deadline,
 		Urgent: hedge || left < d.trainer.Time()/urgentShare, Thrifty: d.thrifty, MinVersion: d.floor, Secret: d.open.Secret,
-		Only: func() ([]string, bool) { return where.only(identity) },
+		Limiter: limiter{pins: where, identity: identity},
 		Placed: func(endpoint string) {
 			where.place(identity, endpoint)
 			r.placed.Store(&placed{endpoint: endpoint, at: d.m.clock.Now()})
@@ -90,7 +90,7 @@
 	}
 	if first := r.placed.Load(); hedge && first != nil {
 		request.Avoid = []string{first.endpoint}
-		request.Placed, request.Only = nil, nil
+		request.Placed, request.Limiter = nil, nil
 	}
 	return request
 }
--- a/src/supervisor/supervisor.go
+++ b/src/supervisor/supervisor.go
@@ -94,10 +94,17 @@
 
 // Every calls task at once and then after each interval until ctx ends.
 func Every(ctx context.Context, clock sesamepitch.Clock, interval time.Duration, task func(context.Context)) error {
+	return EveryOr(ctx, clock, interval, nil, task)
+}
+
+// EveryOr calls task at once and then after each interval, or earlier when now
+// receives, until ctx ends.
+func EveryOr(ctx context.Context, clock sesamepitch.Clock, interval time.Duration, now <-chan struct{}, task func(context.Context)) error {
 	for {
 		task(ctx)
 		select {
 		case <-clock.After(interval):
+		case <-now:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
