A request limited to an endpoint asks again after 300 ms

A pinned sample waited up to 5 s in one cell's queue, also after its prompt was proven and free to run in any cell.

Change: limited requests wait 300 ms in a queue and then ask what they may use.

--- a/src/pool/choose.go
+++ b/src/pool/choose.go
@@ -156,14 +156,15 @@
 	if !found {
 		return nil, Reply{}
 	}
-	waiting, done := ctx, func() {}
+	waiting, done, hold := ctx, func() {}, limitedHold
 	if !ask.limited {
 		waiting, done = c.scouts.enter(ctx, ask.Pool, best.key())
+		hold = holdTime
 	}
 	defer done()
 	c.countMine(best.key(), ask.Workspace, 1)
 	defer c.countMine(best.key(), ask.Workspace, -1)
-	return c.try(waiting, ask, best, waited, holdTime)
+	return c.try(waiting, ask, best, waited, hold)
 }
 
 func mineKey(cell, workspace string) string { return cell + "/" + workspace }
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -23,9 +23,12 @@
 const (
 	// holdTime is how long a request waits in one cell before all are looked
 	// at again.
-	holdTime   = 5 * time.Second
-	answerTime = 1500 * time.Millisecond
-	retryPause = 60 * time.Millisecond
+	holdTime = 5 * time.Second
+	// limitedHold is how long a request that is limited to some endpoints waits
+	// before it asks whether it still is: meanwhile others go where it could not.
+	limitedHold = 300 * time.Millisecond
+	answerTime  = 1500 * time.Millisecond
+	retryPause  = 60 * time.Millisecond
 	// loadMemory is how long a cell that was full is not asked again.
 	loadMemory   = 200 * time.Millisecond
 	remoteCache  = 10 * time.Second
