A content that was answered whole through this daemon is not suspected elsewhere

Each owner knew only of its own cells whether a content had been answered whole; the same prompt, answered many times in other cells, was unproven after a change of owner or in another cell.

Change: an entry remembers the contents that it has seen answered whole and says so with each request; it publishes no crash of such a content.

Before: TestProvenElsewhereIsNotSuspected without the owner's part: "1 != 0". After: it passes.

--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -152,6 +152,8 @@
 	remote  map[string]remoteCells
 	loads   map[string]cellLoad
 	scouts  *scouts
+	// proven are the contents that this daemon has seen answered whole.
+	proven *contents
 	// suspects are the attempts under way by content.
 	suspects *attempts
 	// turns holds the suspected contents of which one request is under way.
@@ -169,7 +171,7 @@
 func NewClient(clock sesamepitch.Clock, log logr.Logger, dir Directory, dialer *peer.Dialer, notices *notice.Set, local *Owner, books func() Books) *Client {
 	return &Client{
 		clock: clock, log: log, dir: dir, dialer: dialer, notices: notices, local: local, books: books,
-		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, loads: map[string]cellLoad{}, scouts: newScouts(), suspects: newAttempts(), mine: map[string]int{}, renewNow: make(chan struct{}, 1), turns: map[string]bool{},
+		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, loads: map[string]cellLoad{}, scouts: newScouts(), proven: newContents(), suspects: newAttempts(), mine: map[string]int{}, renewNow: make(chan struct{}, 1), turns: map[string]bool{},
 	}
 }
 
@@ -296,7 +298,7 @@
 		ID: uuid.NewString(), Entry: self.Address, Run: self.Incarnation, Cell: o.cell.ID,
 		Workspace: ask.Workspace, Weight: ask.Weight, Interactive: ask.Interactive, Tokens: ask.Tokens,
 		Slack: ask.Deadline.Sub(c.clock.Now()), Waited: waited, Prefix: ask.Prefix, Fingerprint: ask.Fingerprint,
-		Suspect: ask.Suspect, Urgent: ask.Urgent, Avoid: ask.Avoid, Only: ask.only, CheapOnly: ask.cheapOnly, MinVersion: ask.MinVersion, Wait: wait,
+		Suspect: ask.Suspect, Proven: c.isProven(ask.Fingerprint), Urgent: ask.Urgent, Avoid: ask.Avoid, Only: ask.only, CheapOnly: ask.cheapOnly, MinVersion: ask.MinVersion, Wait: wait,
 	}
 	if ask.limited {
 		// The one endpoint that is left may be the one that failed.
@@ -335,7 +337,10 @@
 	r.ID, r.Entry, r.Run, r.Cell = s.id, self.Address, self.Incarnation, s.cell
 	r.Endpoint, r.Workspace, r.Fingerprint = s.endpoint, s.ask.Workspace, s.ask.Fingerprint
 	r.Books = c.books()
-	if r.Outcome == Crashed && s.event != "" && s.ask.Fingerprint != "" {
+	if r.Outcome == Whole {
+		c.prove(s.ask.Fingerprint)
+	}
+	if r.Outcome == Crashed && s.event != "" && s.ask.Fingerprint != "" && !c.isProven(s.ask.Fingerprint) {
 		// Known here at once, whichever data centre's owner hears of it.
 		c.notices.Add("", c.notices.NewCrash(s.ask.Fingerprint, s.event, self.Address))
 		c.suspects.leave(s.ask.Fingerprint)
@@ -351,6 +356,18 @@
 	}
 }
 
+func (c *Client) prove(fingerprint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.proven.prove(fingerprint, c.clock.Now())
+}
+
+func (c *Client) isProven(fingerprint string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.proven.isProven(fingerprint)
+}
+
 // send tells the owner of a stream's end. It returns false if no other daemon
 // knows of it then.
 func (c *Client) send(owner string, r Release) bool {
--- a/src/pool/content.go
+++ b/src/pool/content.go
@@ -51,12 +51,7 @@
 	if fingerprint == "" {
 		return
 	}
-	known := c.known[fingerprint]
-	if known == nil {
-		c.makeRoom()
-		known = &content{running: map[string]int{}}
-		c.known[fingerprint] = known
-	}
+	known := c.take(fingerprint)
 	known.running[endpoint]++
 	known.usedAt = now
 }
@@ -72,10 +67,24 @@
 	}
 }
 
-func (c *contents) prove(fingerprint string) {
-	if known := c.known[fingerprint]; known != nil {
-		known.proven = true
+// prove notes that a content was answered whole.
+func (c *contents) prove(fingerprint string, now time.Time) {
+	if fingerprint == "" {
+		return
+	}
+	known := c.take(fingerprint)
+	known.proven, known.usedAt = true, now
+}
+
+// take returns what is known of a content, and begins to know it.
+func (c *contents) take(fingerprint string) *content {
+	known := c.known[fingerprint]
+	if known == nil {
+		c.makeRoom()
+		known = &content{running: map[string]int{}}
+		c.known[fingerprint] = known
 	}
+	return known
 }
 
 // weakEvidence notes a crash on an endpoint that had failed before and answered
--- a/src/pool/owner.go
+++ b/src/pool/owner.go
@@ -251,6 +251,9 @@
 	if r.Interactive {
 		state.memberSeen = now
 	}
+	if r.Proven {
+		state.contents.prove(r.Fingerprint, now)
+	}
 	// A suspect of one crash runs apart from other suspects.
 	r.Crashes = o.notices.Crashes(r.Fingerprint)
 	r.Suspect = r.Suspect || r.Crashes > 0
@@ -312,7 +315,7 @@
 
 // clear ends the suspicion of a content that was answered whole.
 func (o *Owner) clear(state *cell, fingerprint string) {
-	state.contents.prove(fingerprint)
+	state.contents.prove(fingerprint, o.clock.Now())
 	if o.notices.Crashes(fingerprint) > 0 {
 		o.notices.Add("", o.notices.NewCleared(fingerprint, o.centre))
 	}
--- a/src/pool/owner_test.go
+++ b/src/pool/owner_test.go
@@ -182,6 +182,18 @@
 	assert.Equal(t, b.notices.Crashes("innocent"), 0)
 }
 
+// TestProvenElsewhereIsNotSuspected: an entry has seen a content answered whole;
+// the owner, which has not, holds no crash against it.
+func TestProvenElsewhereIsNotSuspected(t *testing.T) {
+	for _, proven := range []bool{false, true} {
+		b := newBench()
+		r, reply := b.acquire(func(r *pool.Request) { r.Fingerprint, r.Proven = "prompt", proven })
+		assert.Equal(t, reply.Event != "", !proven)
+		b.release(r, reply.Endpoint, pool.Crashed)
+		assert.Equal(t, b.notices.Crashes("prompt") == 0, proven)
+	}
+}
+
 // directory is a data centre of one daemon that owns the cell itself.
 type directory struct{ view *centre.View }
 
--- a/src/pool/wire.go
+++ b/src/pool/wire.go
@@ -28,8 +28,10 @@
 	// Crashes counts the endpoints that the content has crashed.
 	Crashes int
 	Suspect bool
-	Urgent  bool
-	Avoid   []string
+	// Proven tells that the asking daemon has seen the content answered whole.
+	Proven bool
+	Urgent bool
+	Avoid  []string
 	// Only names the endpoints that the request may use; any if empty.
 	Only []string
 	// CheapOnly limits the request to reclaimable endpoints.
