One waker, one list of waits, one reader of metrics; a group's pins hold one endpoint

Read again as a whole.

A renewal hands out streams only if it ended a probation.

No behaviour, bound or check changes otherwise.

--- a/cost_test.go
+++ b/cost_test.go
@@ -103,11 +103,9 @@
 	return b.String()
 }
 
-// cost reads a daemon's own metrics.
-func (d *daemonProcess) cost(t *testing.T) cost {
-	t.Helper()
+// metrics reads a daemon's own metrics without labels; none if it does not answer.
+func (d *daemonProcess) metrics() map[string]float64 {
 	got := send(context.Background(), http.MethodGet, d.operators, "/metrics", "", "")
-	assert.NilError(t, got.err)
 	values := map[string]float64{}
 	scanner := bufio.NewScanner(strings.NewReader(got.body))
 	for scanner.Scan() {
@@ -116,6 +114,14 @@
 			values[name] = value
 		}
 	}
+	return values
+}
+
+// cost is what a daemon has taken until now, from its metrics.
+func (d *daemonProcess) cost(t *testing.T) cost {
+	t.Helper()
+	values := d.metrics()
+	assert.Assert(t, len(values) > 0, "%s shows no metrics", d.name)
 	return cost{
 		cpu: values["process_cpu_seconds_total"], memory: values["process_resident_memory_bytes"],
 		bytes: values["sesamepitch_peer_sent_bytes_total"] + values["sesamepitch_peer_received_bytes_total"],
--- a/input_test.go
+++ b/input_test.go
@@ -164,7 +164,8 @@
 		assert.Assert(t, refused >= 20, "%d of 30 refused; 2 fit into its part of the memory", refused)
 		served("unfinished bodies")
 		if !raceEnabled {
-			assert.Assert(t, c.resident(c.daemons[0]) < 64<<20+2*memory, "%d bytes", c.resident(c.daemons[0]))
+			resident := c.daemons[0].cost(t).memory
+			assert.Assert(t, resident < 64<<20+2*memory, "%.0f bytes", resident)
 		}
 	})
 	t.Run("too many streams", func(t *testing.T) {
@@ -255,20 +256,3 @@
 	}()
 	return &stream{cancel: cancel}
 }
-
-// resident is the memory of a daemon's process, in bytes.
-func (c *cluster) resident(d *daemonProcess) int64 {
-	c.t.Helper()
-	response, err := http.Get("http://" + d.operators + "/metrics")
-	assert.NilError(c.t, err)
-	defer func() { _ = response.Body.Close() }()
-	scanner := bufio.NewScanner(response.Body)
-	for scanner.Scan() {
-		var value float64
-		if n, _ := fmt.Sscanf(scanner.Text(), "process_resident_memory_bytes %g", &value); n == 1 {
-			return int64(value)
-		}
-	}
-	c.t.Fatal("no resident memory in the metrics")
-	return 0
-}
--- a/src/centre/beat.go
+++ b/src/centre/beat.go
@@ -9,6 +9,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/document"
+	"sesamepitch/src/supervisor"
 )
 
 const (
@@ -193,7 +194,7 @@
 		return true
 	}
 	// The next heartbeat tells the leader, and through it the operator who waits.
-	defer wake(n.nudge)
+	defer supervisor.Wake(n.nudge)
 	if next, err := document.Advance(current, reply.Deltas); err == nil && next.Version() >= reply.Config {
 		n.advance(next, reply.Deltas)
 		return true
--- a/src/centre/leader.go
+++ b/src/centre/leader.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"sesamepitch/src/supervisor"
 )
 
 const (
@@ -212,7 +214,7 @@
 	}
 	if args.Leaving {
 		n.removeMember(args.Member)
-		wake(n.nudge)
+		supervisor.Wake(n.nudge)
 		return true
 	}
 	n.noteMember(args)
@@ -239,7 +241,7 @@
 		state = &memberState{member: args.Member}
 		n.lead.members[args.Member.ID] = state
 		n.log.Info("member joined", "member", args.Member.ID, "address", args.Member.Address)
-		wake(n.nudge)
+		supervisor.Wake(n.nudge)
 	}
 	n.lead.accountFor(args.Member)
 	n.claim(args.Member, args.Cells)
--- a/src/centre/node.go
+++ b/src/centre/node.go
@@ -226,15 +226,8 @@
 
 // Nudge makes the next heartbeat and table sync happen now.
 func (n *Node) Nudge() {
-	wake(n.nudge)
-	wake(n.syncNow)
-}
-
-func wake(channel chan struct{}) {
-	select {
-	case channel <- struct{}{}:
-	default:
-	}
+	supervisor.Wake(n.nudge)
+	supervisor.Wake(n.syncNow)
 }
 
 // NoteVersion remembers that an endpoint was seen to run a weight version, so
--- a/src/centre/service.go
+++ b/src/centre/service.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"sesamepitch/src/document"
+	"sesamepitch/src/supervisor"
 )
 
 // Service is the node's net/rpc face.
@@ -100,7 +101,7 @@
 
 // Nudge makes this daemon send its heartbeat now.
 func (s *Service) Nudge(NudgeArgs, *NudgeReply) error {
-	wake(s.node.nudge)
+	supervisor.Wake(s.node.nudge)
 	return nil
 }
 
--- a/src/centre/sync.go
+++ b/src/centre/sync.go
@@ -13,6 +13,7 @@
 	"sesamepitch/src/lease"
 	"sesamepitch/src/notice"
 	"sesamepitch/src/platform"
+	"sesamepitch/src/supervisor"
 )
 
 const (
@@ -74,14 +75,14 @@
 			n.role = elected
 			n.epoch = Epoch{Table: epoch}
 			n.lead.epoch = n.epoch
-			wake(n.nudge)
+			supervisor.Wake(n.nudge)
 		}
 		return
 	}
 	if record.Holder != "" && record.Address != n.settings.Self.Address && record.Epoch > n.epoch.Table {
 		n.log.Info("leader steps down", "reason", "lease taken", "holder", record.Holder)
 		n.stepDownLocked()
-		wake(n.nudge)
+		supervisor.Wake(n.nudge)
 	}
 }
 
@@ -101,7 +102,7 @@
 	}
 	if next.Version() > n.holder.Current().Version() {
 		n.advance(next, deltas)
-		wake(n.nudge)
+		supervisor.Wake(n.nudge)
 		n.nudgeMembers()
 	}
 	return nil
@@ -137,7 +138,7 @@
 		n.lead.remotes = remotes
 	}
 	if changed {
-		wake(n.nudge)
+		supervisor.Wake(n.nudge)
 	}
 }
 
@@ -176,7 +177,7 @@
 }
 
 // nudgeMembers asks every member for its heartbeat now.
-func (n *Node) nudgeMembers() { wake(n.news) }
+func (n *Node) nudgeMembers() { supervisor.Wake(n.news) }
 
 // runNudges passes a leader's news on at once, when notices or the view change.
 func (n *Node) runNudges(ctx context.Context) error {
@@ -184,8 +185,8 @@
 	for {
 		select {
 		case <-watch:
-			wake(n.syncNow)
-			wake(n.nudge)
+			supervisor.Wake(n.syncNow)
+			supervisor.Wake(n.nudge)
 		case <-n.news:
 		case <-ctx.Done():
 			return ctx.Err()
@@ -318,7 +319,7 @@
 		next = document.NewConfig(reply.Config, *reply.Document)
 	}
 	n.advance(next, reply.Deltas)
-	wake(n.nudge)
+	supervisor.Wake(n.nudge)
 	n.nudgeMembers()
 	return true
 }
--- a/src/load/load.go
+++ b/src/load/load.go
@@ -142,7 +142,7 @@
 	case PolicyTwoChoices:
 		e.base = &baseline{engines: endpoint.New(), pools: pools, pick: twoChoices(e.settings.Seed)}
 	default:
-		e.service = &own{running: e.running, info: e.info, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+		e.service = &own{running: e.running, info: e.info, rotation: rotation{addresses: e.running.Callers()}, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 		return
 	}
 	e.service = e.base
--- a/src/load/service.go
+++ b/src/load/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,7 +48,7 @@
 	running *deployment.Deployment
 	info    map[string]engineInfo
 	http    *http.Client
-	next    atomic.Int64
+	rotation
 }
 
 // engineInfo is what the report needs to know of an engine.
@@ -57,10 +58,15 @@
 	price  int64
 }
 
-func (o *own) callers() []string {
-	all := o.running.Callers()
-	start := int(o.next.Add(1)) % len(all)
-	return append(append([]string{}, all[start:]...), all[:start]...)
+// rotation lists daemons, another one first each time, as a balancer would.
+type rotation struct {
+	addresses []string
+	next      atomic.Int64
+}
+
+func (r *rotation) callers() []string {
+	start := int(r.next.Add(1)) % len(r.addresses)
+	return slices.Concat(r.addresses[start:], r.addresses[:start])
 }
 
 func (o *own) step(ctx context.Context, trainerName, workspace string, number int64, groups []step.Group, version int64, each func(answer)) error {
--- a/src/load/traffic.go
+++ b/src/load/traffic.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"sort"
 	"sync"
-	"sync/atomic"
 	"text/tabwriter"
 	"time"
 
@@ -74,8 +73,8 @@
 type driver struct {
 	settings TrafficSettings
 	http     *http.Client
-	next     atomic.Int64
 	first    int64
+	rotation
 
 	mu      sync.Mutex
 	seen    Traffic
@@ -87,7 +86,7 @@
 // completions and calls of services, for every workspace whose key is given.
 func Drive(ctx context.Context, settings TrafficSettings) Traffic {
 	d := &driver{
-		settings: settings, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, first: time.Now().UnixMilli(),
+		settings: settings, rotation: rotation{addresses: settings.Callers}, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, first: time.Now().UnixMilli(),
 		members: hdrhistogram.New(1, maxLatency, digits), causes: map[string]int{},
 	}
 	ctx, cancel := context.WithTimeout(ctx, settings.Length+trafficFinish)
@@ -116,13 +115,6 @@
 	return d.traffic()
 }
 
-// callers lists the daemons, another one first each time.
-func (d *driver) callers() []string {
-	all := d.settings.Callers
-	start := int(d.next.Add(1)) % len(all)
-	return append(append([]string{}, all[start:]...), all[:start]...)
-}
-
 // train runs one step after the other until sending ends.
 func (d *driver) train(ctx, sending context.Context, t document.Trainer, credential Credential) {
 	client := trainer.New(t.Name, credential.key, d.callers()...)
--- a/src/notice/notice.go
+++ b/src/notice/notice.go
@@ -11,6 +11,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/supervisor"
 
 	"github.com/google/uuid"
 )
@@ -203,10 +204,7 @@
 
 func (s *Set) wake() {
 	for _, watch := range s.watch {
-		select {
-		case watch <- struct{}{}:
-		default:
-		}
+		supervisor.Wake(watch)
 	}
 }
 
--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -469,18 +469,19 @@
 }
 
 // learnPace ends an engine's probation, or its warmth, by how fast a stream runs
-// that was granted since: its whole answer may take minutes.
-func (c *cell) learnPace(g *grant, tokenTime time.Duration) {
+// that was granted since: its whole answer may take minutes. It tells whether the
+// engine may have more streams now.
+func (c *cell) learnPace(g *grant, tokenTime time.Duration) bool {
 	state := c.endpoints[g.held.Endpoint]
 	if state == nil || tokenTime <= 0 || !state.probation || g.granted.Before(state.probationSince) {
-		return
+		return false
 	}
-	switch {
-	case state.slowedDown(tokenTime):
+	if state.slowedDown(tokenTime) {
 		c.cool(g.held.Endpoint)
-	case state.reportedWarmAt.After(state.probationSince):
-		state.probation = false
+		return false
 	}
+	state.probation = !state.reportedWarmAt.After(state.probationSince)
+	return !state.probation
 }
 
 // wakeUp puts an engine on probation that had nothing to do for a while.
--- a/src/pool/choose.go
+++ b/src/pool/choose.go
@@ -158,7 +158,7 @@
 	}
 	waiting, done, hold := ctx, func() {}, limitedHold
 	if !ask.limited {
-		waiting, done = c.scouts.enter(ctx, ask.Pool, best.key())
+		waiting, done = c.waits.enter(ctx, ask.Pool, best.key())
 		hold = holdTime
 	}
 	defer done()
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -114,15 +114,7 @@
 // renewal, or at once if the endpoint is on probation.
 func (s *Stream) NotePace(tokenTime time.Duration) {
 	if s.pace.Swap(int64(tokenTime)) == 0 && tokenTime > 0 && s.awaited != nil {
-		wake(s.awaited)
-	}
-}
-
-// wake lets a worker go on that waits for this channel.
-func wake(channel chan struct{}) {
-	select {
-	case channel <- struct{}{}:
-	default:
+		supervisor.Wake(s.awaited)
 	}
 }
 
@@ -151,11 +143,12 @@
 	streams map[string]*Stream
 	remote  map[string]remoteCells
 	loads   map[string]cellLoad
-	scouts  *scouts
+	// waits are the requests that wait in a cell's queue, by pool; attempts are all
+	// attempts to get a stream, by content.
+	waits    *waits
+	attempts *waits
 	// proven are the contents that this daemon has seen answered whole.
 	proven *contents
-	// suspects are the attempts under way by content.
-	suspects *attempts
 	// turns holds the suspected contents of which one request is under way.
 	turns map[string]bool
 	// mine counts this daemon's requests by cell and workspace.
@@ -171,7 +164,7 @@
 func NewClient(clock sesamepitch.Clock, log logr.Logger, dir Directory, dialer *peer.Dialer, notices *notice.Set, local *Owner, books func() Books) *Client {
 	return &Client{
 		clock: clock, log: log, dir: dir, dialer: dialer, notices: notices, local: local, books: books,
-		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, loads: map[string]cellLoad{}, scouts: newScouts(), proven: newContents(), suspects: newAttempts(), mine: map[string]int{}, renewNow: make(chan struct{}, 1), turns: map[string]bool{},
+		streams: map[string]*Stream{}, remote: map[string]remoteCells{}, loads: map[string]cellLoad{}, waits: newWaits(), attempts: newWaits(), proven: newContents(), mine: map[string]int{}, renewNow: make(chan struct{}, 1), turns: map[string]bool{},
 	}
 }
 
@@ -237,7 +230,7 @@
 // attempt asks the cells once, and waits in one of them if all are full. A crash
 // of the content meanwhile ends it, since that changes where it may run.
 func (c *Client) attempt(ctx context.Context, ask *Ask, waited time.Duration) (*Stream, Reply) {
-	asking, done := c.suspects.enter(ctx, ask.Fingerprint)
+	asking, done := c.attempts.enter(ctx, ask.Fingerprint, "")
 	defer done()
 	options := c.limit(ask, c.options(asking, *ask))
 	stream, reply := c.takeCheap(asking, *ask, options, waited)
@@ -343,7 +336,7 @@
 	if r.Outcome == Crashed && s.event != "" && s.ask.Fingerprint != "" && !c.isProven(s.ask.Fingerprint) {
 		// Known here at once, whichever data centre's owner hears of it.
 		c.notices.Add("", c.notices.NewCrash(s.ask.Fingerprint, s.event, self.Address))
-		c.suspects.leave(s.ask.Fingerprint)
+		c.attempts.end(s.ask.Fingerprint)
 	}
 	c.mu.Lock()
 	delete(c.streams, s.id)
--- a/src/pool/content.go
+++ b/src/pool/content.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
 const (
-	maxContents = 8192
-	weakCrashes = 3
+	maxContents     = 8192
+	forgottenAtOnce = maxContents / 8
+	weakCrashes     = 3
 )
 
 // content is what the owner knows of one prompt. Until it has been answered
@@ -98,18 +100,22 @@
 	return known.weak%weakCrashes == 0
 }
 
-// makeRoom forgets the content that was used longest ago.
+// makeRoom forgets the contents that were used longest ago, many at a time, since
+// finding them takes a look at all.
 func (c *contents) makeRoom() {
 	if len(c.known) < maxContents {
 		return
 	}
-	oldest := ""
+	var idle []string
 	for fingerprint, known := range c.known {
-		if len(known.running) == 0 && (oldest == "" || known.usedAt.Before(c.known[oldest].usedAt)) {
-			oldest = fingerprint
+		if len(known.running) == 0 {
+			idle = append(idle, fingerprint)
 		}
 	}
-	delete(c.known, oldest)
+	slices.SortFunc(idle, func(a, b string) int { return c.known[a].usedAt.Compare(c.known[b].usedAt) })
+	for _, fingerprint := range idle[:min(len(idle), forgottenAtOnce)] {
+		delete(c.known, fingerprint)
+	}
 }
 
 // crashEvent names one crash of an endpoint: all streams that were granted in
--- a/src/pool/owner.go
+++ b/src/pool/owner.go
@@ -204,7 +204,7 @@
 		reply.Endpoint, reply.Address = p.decision.Endpoint, endpoint.config.Address
 		reply.Probation = endpoint.probation
 		if endpoint.probation {
-			wake(o.reportNow)
+			supervisor.Wake(o.reportNow)
 		}
 		reply.Reason, reply.Passed, reply.Event = p.decision.Reason, p.decision.Passed, event
 		p.waiter.reply <- reply
@@ -367,7 +367,7 @@
 	if state == nil || !o.node.Owns(r.Cell) {
 		return RenewalReply{}
 	}
-	reply := RenewalReply{Owned: true}
+	reply, paced := RenewalReply{Owned: true}, false
 	for _, held := range r.Held {
 		g := state.grants[held.ID]
 		if g == nil {
@@ -377,12 +377,14 @@
 			continue
 		}
 		g.renewed = now
-		state.learnPace(g, held.TokenTime)
+		paced = state.learnPace(g, held.TokenTime) || paced
 		if g.revoked {
 			reply.Revoked = append(reply.Revoked, held.ID)
 		}
 	}
-	o.dispatch(state)
+	if paced {
+		o.dispatch(state)
+	}
 	return reply
 }
 
--- a/src/step/pins.go
+++ b/src/step/pins.go
@@ -1,10 +1,6 @@
 package step
 
-import (
-	"maps"
-	"slices"
-	"sync"
-)
+import "sync"
 
 // pins say where the samples of one prompt may run. Until one of them is whole
 // all use one endpoint at a time: the first one chooses it, the others run beside
@@ -17,13 +13,12 @@
 	samples map[Identity]*pin
 }
 
-// pin is one sample under way. A scout chooses its endpoint itself; until it is
-// placed it counts as one. A sample that was told its endpoint may come to run on
-// it for as long as it asks.
+// pin is one sample under way. Endpoint is where it runs, or where it was told to
+// run, since it may come to do so for as long as it asks. A scout chooses its
+// endpoint itself; until it is placed it counts as one.
 type pin struct {
 	endpoint string
 	scout    bool
-	told     []string
 }
 
 // turn is what a sample may do.
@@ -42,34 +37,32 @@
 
 func newPins() *pins { return &pins{samples: map[Identity]*pin{}} }
 
-// turnOf decides for a sample, and names the endpoints of a pinned one. It needs
+// turnOf decides for a sample, and names the endpoint of a pinned one. It needs
 // p.mu.
-func (p *pins) turnOf(identity Identity) (turn, []string) {
+func (p *pins) turnOf(identity Identity) (turn, string) {
 	if p.proven {
-		return anywhere, nil
+		return anywhere, ""
 	}
-	unplaced := 0
-	used := map[string]bool{}
+	used, scouted := "", false
 	for other, at := range p.samples {
 		switch {
 		case other == identity:
-		case at.endpoint != "":
-			used[at.endpoint] = true
-		case at.scout:
-			unplaced++
+		case at.endpoint == "":
+			scouted = scouted || at.scout
+		case used != "" && used != at.endpoint:
+			return later, ""
 		default:
-			for _, endpoint := range at.told {
-				used[endpoint] = true
-			}
+			used = at.endpoint
 		}
 	}
 	switch {
-	case len(used)+unplaced == 0:
-		return scouting, nil
-	case len(used) != 1:
-		return later, nil
+	case used != "":
+		return pinned, used
+	case scouted:
+		return later, ""
+	default:
+		return scouting, ""
 	}
-	return pinned, slices.Collect(maps.Keys(used))
 }
 
 // mayStart tells whether a sample can be started now.
@@ -89,15 +82,18 @@
 }
 
 // only tells a sample that looks for an endpoint, also after its last one
-// failed, to which ones it is limited.
+// failed, to which one it is limited; to none if it must wait.
 func (p *pins) only(identity Identity) (endpoints []string, limited bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t, names := p.turnOf(identity)
+	t, endpoint := p.turnOf(identity)
 	if at := p.samples[identity]; at != nil {
-		*at = pin{scout: t == scouting, told: names}
+		*at = pin{endpoint: endpoint, scout: t == scouting}
+	}
+	if t == pinned {
+		return []string{endpoint}, true
 	}
-	return names, t == pinned || t == later
+	return nil, t == later
 }
 
 // rest notes that a sample got no endpoint and does not ask now.
@@ -114,7 +110,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if at := p.samples[identity]; at != nil {
-		at.endpoint, at.told = endpoint, nil
+		at.endpoint = endpoint
 	}
 }
 
--- a/src/step/sampling.go
+++ b/src/step/sampling.go
@@ -8,6 +8,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/rollout"
+	"sesamepitch/src/supervisor"
 )
 
 // finished is a sample's end.
@@ -85,7 +86,7 @@
 		Placed: func(endpoint string) {
 			where.place(identity, endpoint)
 			r.placed.Store(&placed{endpoint: endpoint, at: d.m.clock.Now()})
-			d.wake()
+			supervisor.Wake(d.placements)
 		},
 	}
 	if first := r.placed.Load(); hedge && first != nil {
@@ -141,14 +142,6 @@
 	return nil
 }
 
-// wake lets the driver start samples that waited for another one's endpoint.
-func (d *driver) wake() {
-	select {
-	case d.placements <- struct{}{}:
-	default:
-	}
-}
-
 // resize adapts the number of samples under way to how long streams are waited
 // for, so that waiting requests do not load the owners.
 func (d *driver) resize(queued time.Duration) {
--- a/src/supervisor/supervisor.go
+++ b/src/supervisor/supervisor.go
@@ -92,6 +92,15 @@
 	return worker.run(ctx)
 }
 
+// Wake lets a worker go on that waits for the channel, which holds one signal; it
+// never blocks.
+func Wake(channel chan<- struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
 // Every calls task at once and then after each interval until ctx ends.
 func Every(ctx context.Context, clock sesamepitch.Clock, interval time.Duration, task func(context.Context)) error {
 	return EveryOr(ctx, clock, interval, nil, task)
--- a/storm_test.go
+++ b/storm_test.go
@@ -15,9 +15,9 @@
 )
 
 var (
-	documentKB     = flag.String("document.kb", "100", "sizes of the document to measure, in KB")
-	documentMuster = flag.String("document.daemons", "3", "numbers of daemons to measure changes of the document with")
-	stormDaemons   = flag.String("storm.daemons", "3", "numbers of daemons that are restarted at once")
+	documentKB      = flag.String("document.kb", "100", "sizes of the document to measure, in KB")
+	documentDaemons = flag.String("document.daemons", "3", "numbers of daemons to measure changes of the document with")
+	stormDaemons    = flag.String("storm.daemons", "3", "numbers of daemons that are restarted at once")
 )
 
 const (
@@ -35,7 +35,7 @@
 // size and the number of daemons of a data centre.
 func TestDocumentCost(t *testing.T) {
 	t.Parallel()
-	for _, daemons := range numbers(t, *documentMuster) {
+	for _, daemons := range numbers(t, *documentDaemons) {
 		for _, kilobytes := range numbers(t, *documentKB) {
 			t.Run(fmt.Sprintf("%d daemons, %d KB", daemons, kilobytes), func(t *testing.T) {
 				measureChanges(t, daemons, kilobytes)
@@ -90,7 +90,7 @@
 	done := make(chan time.Time, 1)
 	go func() {
 		for _, d := range c.daemons {
-			for d.configVersion() < version {
+			for d.metrics()["sesamepitch_config_version"] < float64(version) {
 				time.Sleep(20 * time.Millisecond)
 			}
 		}
@@ -99,18 +99,6 @@
 	return done
 }
 
-// configVersion is the version in force at a daemon, zero if it does not say.
-func (d *daemonProcess) configVersion() int64 {
-	got := send(context.Background(), http.MethodGet, d.operators, "/metrics", "", "")
-	for line := range strings.Lines(got.body) {
-		var value float64
-		if n, _ := fmt.Sscanf(line, "sesamepitch_config_version %g", &value); n == 1 {
-			return int64(value)
-		}
-	}
-	return 0
-}
-
 // paddedDocument is a document of about a size; most of it is keys, and number
 // changes one item.
 func paddedDocument(c *cluster, kilobytes, number int) string {
