--- a/src/step/sweep_test.go
+++ b/src/step/sweep_test.go
@@ -87,3 +87,46 @@
 		}
 	})
 }
+
+// stubborn is a platform whose object store deletes nothing at first.
+type stubborn struct {
+	sesamepitch.Platform
+	fails *bool
+}
+
+func (s stubborn) Objects() sesamepitch.Objects {
+	return stubbornObjects{Objects: s.Platform.Objects(), fails: s.fails}
+}
+
+type stubbornObjects struct {
+	sesamepitch.Objects
+	fails *bool
+}
+
+func (s stubbornObjects) Delete(ctx context.Context, name string) error {
+	if *s.fails {
+		return &Error{Op: "test.delete", Kind: sesamepitch.KindUnavailable}
+	}
+	return s.Objects.Delete(ctx, name)
+}
+
+// TestSweepThatStopsHalfWay closes a step and fails before its samples are gone:
+// nobody may drive it meanwhile, and the next sweep removes the rest.
+func TestSweepThatStopsHalfWay(t *testing.T) {
+	server := httptest.NewServer(standin.NewPlatform())
+	defer server.Close()
+	ctx, clock, fails := context.Background(), clockwork.NewFakeClock(), true
+	p := stubborn{Platform: platform.New(strings.TrimPrefix(server.URL, "http://")), fails: &fails}
+	old := newLedger(p, clock, 7, "d1")
+	assert.NilError(t, old.claim(ctx))
+	assert.NilError(t, old.commit(ctx, old.prepare("coaching", []Sample{{Text: "t", Tokens: 4}})))
+	clock.Advance(Memory + time.Minute)
+	sweeper := NewSweeper(clock, p)
+	_, err := sweeper.Sweep(ctx, 100)
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindUnavailable)
+	assert.Equal(t, sesamepitch.KindOf(newLedger(p, clock, 7, "d2").claim(ctx)), sesamepitch.KindInvalid)
+	fails = false
+	removed, err := sweeper.Sweep(ctx, 100)
+	assert.NilError(t, err)
+	assert.Equal(t, removed, 2, "a batch and the step")
+}
--- a/storm_test.go
+++ b/storm_test.go
@@ -32,9 +32,9 @@
 )
 
 // TestDocumentCost measures what a change of one item takes, by the document's
-// size and the number of daemons of a data centre.
+// size and the number of daemons of a data centre. It runs alone, as do all tests
+// that measure: beside others it shows their load.
 func TestDocumentCost(t *testing.T) {
-	t.Parallel()
 	for _, daemons := range numbers(t, *documentDaemons) {
 		for _, kilobytes := range numbers(t, *documentKB) {
 			t.Run(fmt.Sprintf("%d daemons, %d KB", daemons, kilobytes), func(t *testing.T) {
@@ -122,9 +122,8 @@
 }
 
 // TestRestartStorm kills all daemons of a data centre and starts them again at
-// once.
+// once. It runs alone.
 func TestRestartStorm(t *testing.T) {
-	t.Parallel()
 	for _, daemons := range numbers(t, *stormDaemons) {
 		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) { measureStorm(t, daemons) })
 	}
