Lease: a renewal carried out late counts from its oldest unsettled send

Cause: a renewal whose answer is lost and which the table carries out later made the next renewal conflict; the read back counted the term from its own send, so two processes could hold the lease.

Ruled out: the epochs; they rose as they should.

Change: the oldest unsettled send is kept until a commit is settled, and the term counts from there. A contender whose read failed counts the row's term anew. A process that finds its own instance's name takes the lease at once.

--- /dev/null
+++ b/src/batch/heads.go
@@ -0,0 +1,36 @@
+package batch
+
+import "sync"
+
+// headCache remembers heads of jobs that exist. What readers need of a head
+// never changes, so an entry may be older than the row.
+type headCache struct {
+	mu    sync.Mutex
+	limit int
+	heads map[string]Head
+	order []string
+}
+
+func newHeadCache(limit int) *headCache {
+	return &headCache{limit: limit, heads: map[string]Head{}}
+}
+
+func (c *headCache) get(id string) (Head, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	head, known := c.heads[id]
+	return head, known
+}
+
+func (c *headCache) put(head Head) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.heads[head.ID]; !known {
+		c.order = append(c.order, head.ID)
+	}
+	c.heads[head.ID] = head
+	if len(c.order) > c.limit {
+		delete(c.heads, c.order[0])
+		c.order = c.order[1:]
+	}
+}
--- a/src/error.go
+++ b/src/error.go
@@ -34,6 +34,8 @@
 	KindQuarantined Kind = "quarantined"
 	// KindStale means the weights are older than allowed.
 	KindStale Kind = "stale"
+	// KindGone means that the history asked for is no longer kept.
+	KindGone Kind = "gone"
 	// KindInternal means an invariant failed.
 	KindInternal Kind = "internal"
 )
--- a/src/lease/lease.go
+++ b/src/lease/lease.go
@@ -49,10 +49,17 @@
 	observed bool
 	note     string
 	previous Record
+	// unsettled is when the oldest commit was sent that may still take effect or
+	// may have; zero if there is none.
+	unsettled time.Time
+	// blind is set once the row could not be read.
+	blind bool
 }
 
-// New returns a lease on key for a holder, whose name must be used by no
-// other process, also not by an earlier run of the same instance.
+// New returns a lease on key for a holder, whose name must be used by no other
+// process at the same time. A process that finds its own name in the row takes
+// the lease at once: the process that had it has ended. The clock must also
+// count the time that the instance was suspended.
 func New(clock sesamepitch.Clock, table sesamepitch.Table, key, holder, address string, settings Settings) *Lease {
 	return &Lease{clock: clock, table: table, key: key, holder: holder, address: address, settings: settings}
 }
@@ -144,17 +151,29 @@
 	case "":
 		l.hold(next, revision, sent)
 		return nil
-	case sesamepitch.KindConflict, sesamepitch.KindUnknown:
-		return l.readBack(ctx, sent)
+	case sesamepitch.KindUnknown:
+		l.notSettled(sent)
+		return l.readBack(ctx)
+	case sesamepitch.KindConflict:
+		return l.readBack(ctx)
 	default:
 		return err
 	}
 }
 
+// notSettled notes a commit whose outcome is unknown.
+func (l *Lease) notSettled(sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unsettled.IsZero() {
+		l.unsettled = sent
+	}
+}
+
 // readBack finds out whether a renewal or a take with a lost answer took
-// effect. The row's own write came after sent, so the lease counts from there
-// only if the row changed; else the old end stays.
-func (l *Lease) readBack(ctx context.Context, sent time.Time) error {
+// effect. If the row changed, one of the unsettled commits wrote it, perhaps
+// the oldest: the lease counts from when that was sent. Else the old end stays.
+func (l *Lease) readBack(ctx context.Context) error {
 	var row Record
 	version, err := platform.Read(ctx, l.table, l.key, &row)
 	if err != nil {
@@ -163,12 +182,13 @@
 	l.mu.Lock()
 	mine := row.Holder == l.holder
 	changed := version != l.version
+	sent := l.unsettled
 	l.mu.Unlock()
 	if !mine {
 		l.lose(row, version)
 		return nil
 	}
-	if changed {
+	if changed && !sent.IsZero() {
 		l.hold(row, version, sent)
 	}
 	return nil
@@ -178,6 +198,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.held = true
+	l.unsettled = time.Time{}
 	l.record = record
 	l.version = version
 	l.until = sent.Add(l.settings.TTL - l.settings.Margin)
@@ -187,14 +208,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.held = false
+	l.unsettled = time.Time{}
 	l.remember(record, version)
 }
 
-// remember keeps the row and when it last changed; it needs l.mu.
+// remember keeps the row and when it last changed; it needs l.mu. After a read
+// that failed the term counts anew, so that a holder that could not renew
+// meanwhile either can do so first.
 func (l *Lease) remember(record Record, version int64) {
-	if !l.observed || version != l.version {
+	if !l.observed || version != l.version || l.blind {
 		l.seenAt = l.clock.Now()
 	}
+	l.blind = false
 	l.observed = true
 	l.record = record
 	l.version = version
@@ -203,11 +228,12 @@
 func (l *Lease) observe(ctx context.Context) error {
 	var row Record
 	version, err := platform.Read(ctx, l.table, l.key, &row)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err != nil {
+		l.blind = true
 		return err
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.remember(row, version)
 	return nil
 }
@@ -215,7 +241,7 @@
 func (l *Lease) lapsed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.record.Holder == "" {
+	if l.record.Holder == "" || l.record.Holder == l.holder {
 		return true
 	}
 	return l.clock.Now().Sub(l.seenAt) >= l.settings.TTL+l.settings.Margin
@@ -236,7 +262,8 @@
 	case sesamepitch.KindConflict:
 		return l.observe(ctx)
 	case sesamepitch.KindUnknown:
-		return l.readBack(ctx, sent)
+		l.notSettled(sent)
+		return l.readBack(ctx)
 	default:
 		return err
 	}
--- a/src/lease/lease_test.go
+++ b/src/lease/lease_test.go
@@ -16,11 +16,26 @@
 )
 
 // table is a table of one row whose answers can be lost, before or after the
-// commit.
+// commit, and that can carry out a commit late.
 type table struct {
 	mu   sync.Mutex
 	row  sesamepitch.Row
 	next string
+	late []sesamepitch.Txn
+}
+
+// settle carries out the oldest late commit if its condition still holds.
+func (t *table) settle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.late) == 0 {
+		return
+	}
+	txn := t.late[0]
+	t.late = t.late[1:]
+	if txn.Checks[0].Version == t.row.Version {
+		t.row = sesamepitch.Row{Key: txn.Writes[0].Key, Value: txn.Writes[0].Value, Version: t.row.Version + 1}
+	}
 }
 
 type tableError struct{ kind sesamepitch.Kind }
@@ -49,6 +64,9 @@
 		return 0, tableError{sesamepitch.KindUnavailable}
 	case t.next == "lost before":
 		return 0, tableError{sesamepitch.KindUnknown}
+	case t.next == "late":
+		t.late = append(t.late, txn)
+		return 0, tableError{sesamepitch.KindUnknown}
 	case txn.Checks[0].Version != t.row.Version:
 		return 0, tableError{sesamepitch.KindConflict}
 	}
@@ -74,7 +92,10 @@
 		last := int64(0)
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			clock.Advance(time.Duration(rapid.IntRange(0, 1500).Draw(t, "millis")) * time.Millisecond)
-			shared.next = rapid.SampledFrom([]string{"", "", "", "down", "lost before", "lost after"}).Draw(t, "fault")
+			shared.next = rapid.SampledFrom([]string{"", "", "", "down", "lost before", "lost after", "late"}).Draw(t, "fault")
+			if rapid.Bool().Draw(t, "settle") {
+				shared.settle()
+			}
 			chosen := contenders[rapid.IntRange(0, 2).Draw(t, "contender")]
 			_ = chosen.Step(context.Background())
 			holders := 0
--- a/src/platform.go
+++ b/src/platform.go
@@ -6,11 +6,13 @@
 )
 
 // Row is one row of the platform's table. Version is zero for an absent row
-// and grows with each write of the key.
+// and grows with each write of the key. Deleted marks the removal of a row in
+// a Feed's changes.
 type Row struct {
 	Key     string `json:"key"`
 	Value   []byte `json:"value,omitempty"`
 	Version int64  `json:"version"`
+	Deleted bool   `json:"deleted,omitempty"`
 }
 
 // Check is a condition of a transaction: the row must have this version; zero
@@ -46,6 +48,32 @@
 	Commit(ctx context.Context, txn Txn) (int64, error)
 }
 
+// Changes are the rows of a table that changed after a revision, in order, and
+// the revision up to which they are complete.
+type Changes struct {
+	Rows     []Row `json:"rows,omitempty"`
+	Revision int64 `json:"revision"`
+}
+
+// Feed tells what changes in one table of the platform. A key's first segment
+// is its table: "lease//driver" is key "driver" in the empty part of "lease".
+type Feed interface {
+	// Snapshot reads all rows of a table.
+	Snapshot(ctx context.Context, table string) (Changes, error)
+	// Changes returns the rows that changed after a revision as soon as there
+	// is one, or none after wait. KindGone means that the history is lost and
+	// a new snapshot is needed.
+	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error)
+}
+
+// Store is a table that also tells what changes and reads pages of a part.
+type Store interface {
+	Table
+	Feed
+	// Range reads at most limit rows of a part, in key order, from a key.
+	Range(ctx context.Context, from string, limit int) ([]Row, error)
+}
+
 // Objects is the platform's object store.
 type Objects interface {
 	// Put stores an object; storing the same name again replaces it.
