--- /dev/null
+++ b/src/billing/reporter.go
@@ -0,0 +1,142 @@
+package billing
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/platform"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	reportEvery = 500 * time.Millisecond
+	reportTime  = 2 * time.Second
+	// settleShare of the time until a report is due passes before a window is
+	// frozen, so that the instances have flushed their counts.
+	settleShare = 0.4
+	// leaseLead is how long the lease must still last for a report to go.
+	leaseLead = 700 * time.Millisecond
+)
+
+// Authority tells whether this instance is in charge.
+type Authority interface {
+	// Held returns the fencing number and the end of the lease; ok is false if
+	// this instance does not hold it.
+	Held() (epoch int64, until time.Time, ok bool)
+}
+
+// Reporter reports each window once. The counts are frozen in the table before
+// they are sent, so that each report of a window has the same figures.
+type Reporter struct {
+	clock    sesamepitch.Clock
+	log      logr.Logger
+	table    sesamepitch.Table
+	duties   sesamepitch.Duties
+	lease    Authority
+	instance string
+	length   time.Duration
+	late     time.Duration
+	reported map[int64]bool
+}
+
+// NewReporter returns a reporter of windows of a length, whose reports are due
+// late after a window's end.
+func NewReporter(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, duties sesamepitch.Duties, lease Authority, instance string, length, late time.Duration) *Reporter {
+	return &Reporter{
+		clock: clock, log: log, table: table, duties: duties, lease: lease, instance: instance,
+		length: length, late: late, reported: map[int64]bool{},
+	}
+}
+
+// Run reports windows until ctx ends.
+func (r *Reporter) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-r.clock.After(reportEvery):
+			r.step(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// step reports the windows that have settled and are not overdue.
+func (r *Reporter) step(ctx context.Context) {
+	now := r.clock.Now()
+	settled := now.Add(-time.Duration(settleShare * float64(r.late)))
+	newest := windowOf(settled, r.length) - 1
+	oldest := windowOf(now.Add(-r.late), r.length)
+	for window := oldest; window <= newest; window++ {
+		if r.reported[window] {
+			continue
+		}
+		if err := r.report(ctx, window); err != nil {
+			r.log.Info("usage not reported", "window", window, "cause", err.Error())
+			return
+		}
+	}
+	for window := range r.reported {
+		if window < oldest {
+			delete(r.reported, window)
+		}
+	}
+}
+
+func (r *Reporter) report(ctx context.Context, window int64) error {
+	if _, held := r.authority(); !held {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	counts, err := r.freeze(ctx, window)
+	if err != nil {
+		return err
+	}
+	epoch, held := r.authority()
+	if !held {
+		return nil
+	}
+	err = r.duties.ReportWindow(ctx, sesamepitch.WindowUsage{Window: window, Counts: counts, Holder: r.instance, Fence: epoch})
+	if err != nil {
+		return err
+	}
+	r.reported[window] = true
+	r.log.Info("usage reported", "window", window, "workspaces", len(counts), "fence", epoch)
+	return nil
+}
+
+func (r *Reporter) authority() (int64, bool) {
+	epoch, until, held := r.lease.Held()
+	return epoch, held && until.Sub(r.clock.Now()) > leaseLead
+}
+
+// freeze returns the final counts of a window; the first call fixes them.
+func (r *Reporter) freeze(ctx context.Context, window int64) (map[string]int64, error) {
+	rows, err := r.table.List(ctx, windowKey(window, ""))
+	if err != nil {
+		return nil, err
+	}
+	counts := map[string]int64{}
+	checks := []sesamepitch.Check{{Key: windowKey(window, frozenName)}}
+	for _, row := range rows {
+		known, err := decodeCounts(row)
+		if err != nil {
+			return nil, err
+		}
+		if strings.HasSuffix(row.Key, frozenName) {
+			return known, nil
+		}
+		for workspace, count := range known {
+			counts[workspace] += count
+		}
+		checks = append(checks, sesamepitch.Check{Key: row.Key, Version: row.Version})
+	}
+	_, err = r.table.Commit(ctx, sesamepitch.Txn{
+		Checks: checks,
+		Writes: []sesamepitch.Write{{Key: windowKey(window, frozenName), Value: platform.Encode(counts)}},
+	})
+	return counts, err
+}
--- a/src/command/command.go
+++ b/src/command/command.go
@@ -94,6 +94,8 @@
 	switch active.Name {
 	case "serve":
 		return serve(env, o.Serve)
+	case "entry":
+		return entryInstance(env, o.Entry)
 	case "demo":
 		return demo(env, o.Demo)
 	case "check":
--- a/src/command/options.go
+++ b/src/command/options.go
@@ -6,6 +6,7 @@
 // environment variable that its help names.
 type Options struct {
 	Serve   ServeOptions   `command:"serve" description:"Run the daemon on an entry instance"`
+	Entry   EntryOptions   `command:"entry" description:"Run an entry instance on the users' platform; its settings file is named in the environment"`
 	Demo    DemoOptions    `command:"demo" description:"Run a step through several daemons in this process and check the promises"`
 	Check   CheckOptions   `command:"check" description:"Check a document without applying it"`
 	Diff    DiffOptions    `command:"diff" description:"Show what a document would change"`
@@ -43,6 +44,11 @@
 	OperatorHash string        `long:"operator-token-hash" env:"SESAMEPITCH_OPERATOR_TOKEN_HASH" description:"SHA-256 of the operators' token; none is asked for if empty"`
 }
 
+// EntryOptions are the options of entry, beside its settings file.
+type EntryOptions struct {
+	MetricsPort int `long:"metrics-port" env:"SESAMEPITCH_METRICS_PORT" description:"port of the metrics; 0 for none" default:"9464"`
+}
+
 // Remote are the options of commands that call a daemon.
 type Remote struct {
 	Address string `long:"daemon" env:"SESAMEPITCH_DAEMON" description:"IP:port of a daemon's operator listener" default:"127.0.0.1:8081"`
--- /dev/null
+++ b/src/driver/adopt.go
@@ -0,0 +1,184 @@
+package driver
+
+import (
+	"context"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/batch"
+	"sesamepitch/src/registry"
+)
+
+// apply takes over changes of the table of open jobs.
+func (s *session) apply(ctx context.Context, update registry.Update) {
+	for _, row := range update.Rows {
+		if row.Deleted {
+			continue
+		}
+		head, err := batch.DecodeHead(row)
+		if err != nil {
+			s.log.Info("row of an open job is unreadable", "cause", err.Error())
+			continue
+		}
+		if head.Ended {
+			s.endJob(head.ID)
+			continue
+		}
+		s.adopt(ctx, head)
+	}
+}
+
+// adopt takes a job over unless that has begun already.
+func (s *session) adopt(ctx context.Context, head batch.Head) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.adopted[head.ID] {
+		return
+	}
+	s.adopted[head.ID] = true
+	s.running.Add(1)
+	go func() {
+		defer s.running.Done()
+		s.drive(ctx, head)
+	}()
+}
+
+// drive takes a job over and lists its results until it is over.
+func (s *session) drive(ctx context.Context, head batch.Head) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		j, done, err := s.load(ctx, head)
+		if err == nil {
+			j.cancel = cancel
+			s.add(j, done)
+			s.commit(ctx, j)
+			return
+		}
+		if sesamepitch.KindOf(err) == sesamepitch.KindConflict {
+			s.log.Info("job not taken over", "job", head.ID, "cause", err.Error())
+			return
+		}
+		s.log.Info("job not yet taken over", "job", head.ID, "cause", err.Error())
+		select {
+		case <-s.clock.After(adoptPause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// load reads a job, claims it and reads which results are listed.
+func (s *session) load(ctx context.Context, head batch.Head) (*job, []batch.Result, error) {
+	loaded, err := s.ledger.Job(ctx, head)
+	if err != nil {
+		return nil, nil, err
+	}
+	claim, err := s.ledger.Claim(ctx, head.ID, s.holder, s.epoch)
+	if err != nil {
+		return nil, nil, err
+	}
+	var done []batch.Result
+	if claim.Count() > 0 {
+		done, err = s.ledger.All(ctx, head.ID)
+	}
+	return &job{Job: loaded, claim: claim, wake: make(chan struct{}, 1)}, done, err
+}
+
+// add puts a job's items in line.
+func (s *session) add(j *job, done []batch.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.wakeUp()
+	if s.over[j.ID] {
+		j.ended = true
+		j.cancel()
+		return
+	}
+	now := s.clock.Now()
+	s.setTimes(j)
+	finished := map[string]bool{}
+	for _, result := range done {
+		finished[result.ID] = true
+	}
+	j.listed = len(done)
+	known := 0
+	for _, item := range j.Items {
+		t := &task{item: item, job: j, waitSince: now, finished: finished[item.ID]}
+		j.tasks = append(j.tasks, t)
+		if t.finished {
+			continue
+		}
+		whole := false
+		t.text, whole = s.carry.take(t)
+		if len(t.text.events) > 0 {
+			known++
+		}
+		if whole {
+			s.finish(t, t.result())
+		}
+	}
+	s.jobs[j.ID] = j
+	if named := s.registry.Versions()[j.Model]; named >= j.MinVersion {
+		s.behind[j.Model] = named - j.MinVersion
+	}
+	s.log.Info("job taken over", "job", j.ID, "step", j.Step, "model", j.Model, "min_version", j.MinVersion,
+		"named", s.registry.Versions()[j.Model], "items", len(j.Items), "listed", len(done), "carried", known,
+		"age_ms", now.Sub(j.Submitted).Milliseconds())
+}
+
+func (s *session) setTimes(j *job) {
+	due, giveUp := defaultDue, defaultGiveUp
+	if config := s.registry.Config(); config != nil {
+		if route, found := config.RouteNamed(j.Route); found {
+			j.single = route.SingleVersion
+			if route.ResultDeadline > 0 {
+				due = route.ResultDeadline
+			}
+			if route.QueueTTL > 0 {
+				giveUp = route.QueueTTL
+			}
+		}
+	}
+	j.due, j.giveUp = j.Submitted.Add(due), j.Submitted.Add(giveUp)
+}
+
+// endJob ends a job's runs; what is whole already is still listed.
+func (s *session) endJob(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adopted[id], s.over[id] = true, true
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(s.jobs, id)
+	open := 0
+	for _, t := range j.tasks {
+		if t.finished {
+			continue
+		}
+		open++
+		t.finished = true
+		if t.run == nil {
+			s.carry.keep(t, false, s.clock.Now())
+		}
+		s.abandon(t)
+	}
+	j.ended = true
+	j.cancel()
+	s.log.Info("job ended by its trainer", "job", id, "items", len(j.Items), "unfinished", open)
+	s.wakeUp()
+}
+
+// drop forgets a job that another process has taken over.
+func (s *session) drop(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.jobs, j.ID)
+	j.ended = true
+	for _, t := range j.tasks {
+		t.finished = true
+		s.abandon(t)
+	}
+}
+
--- /dev/null
+++ b/src/driver/carry.go
@@ -0,0 +1,51 @@
+package driver
+
+import "time"
+
+// carryTime is how long texts are kept for a later job with the same items.
+const carryTime = 60 * time.Second
+
+// carry keeps texts of items that may come again in a later job.
+type carry struct {
+	texts map[carryKey]carried
+}
+
+// carryKey names an item across the jobs of a workspace's route.
+type carryKey struct{ workspace, route, item string }
+
+type carried struct {
+	text  text
+	whole bool
+	at    time.Time
+}
+
+func newCarry() *carry { return &carry{texts: map[carryKey]carried{}} }
+
+func (c *carry) keep(t *task, whole bool, now time.Time) {
+	if len(t.text.events) == 0 {
+		return
+	}
+	c.texts[keyOf(t)] = carried{text: t.text, whole: whole, at: now}
+}
+
+// take returns what is known of a task's text, if its job allows the versions.
+func (c *carry) take(t *task) (text, bool) {
+	known, found := c.texts[keyOf(t)]
+	if !found || !known.text.allowed(t.job.MinVersion, t.job.single) {
+		return text{}, false
+	}
+	copied := text{events: append([]string(nil), known.text.events...), versions: append([]int64(nil), known.text.versions...)}
+	return copied, known.whole
+}
+
+func (c *carry) forget(now time.Time) {
+	for key, known := range c.texts {
+		if now.Sub(known.at) > carryTime {
+			delete(c.texts, key)
+		}
+	}
+}
+
+func keyOf(t *task) carryKey {
+	return carryKey{t.job.Workspace, t.job.Route, t.item.ID}
+}
--- /dev/null
+++ b/src/driver/driver.go
@@ -0,0 +1,154 @@
+package driver
+
+import (
+	"context"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/batch"
+	"sesamepitch/src/lease"
+	"sesamepitch/src/registry"
+
+	"github.com/go-logr/logr"
+)
+
+// LeaseKey is the row of the lease under which jobs are driven and duties done.
+const LeaseKey = "lease//driver"
+
+const (
+	// renewal is the time between steps of the lease.
+	renewal = 350 * time.Millisecond
+	// leaseCall bounds one step of the lease.
+	leaseCall = 1500 * time.Millisecond
+)
+
+// leaseSettings are the times of the lease.
+var leaseSettings = lease.Settings{TTL: 2 * time.Second, Margin: 300 * time.Millisecond}
+
+// NewLease returns the driver's lease for an instance.
+func NewLease(clock sesamepitch.Clock, table sesamepitch.Table, instance, address string) *lease.Lease {
+	return lease.New(clock, table, LeaseKey, instance, address, leaseSettings)
+}
+
+// Driver takes part in the lease and drives all jobs while it has it.
+type Driver struct {
+	clock    sesamepitch.Clock
+	log      logr.Logger
+	store    sesamepitch.Store
+	ledger   *batch.Ledger
+	registry *registry.Registry
+	engines  sesamepitch.Engines
+	control  sesamepitch.EngineControl
+	lease    *lease.Lease
+	instance string
+	leaving  chan struct{}
+}
+
+// New returns a driver for an instance.
+func New(clock sesamepitch.Clock, log logr.Logger, store sesamepitch.Store, ledger *batch.Ledger, known *registry.Registry, engines sesamepitch.Engines, control sesamepitch.EngineControl, l *lease.Lease, instance string) *Driver {
+	return &Driver{
+		clock: clock, log: log, store: store, ledger: ledger, registry: known, engines: engines, control: control,
+		lease: l, instance: instance, leaving: make(chan struct{}),
+	}
+}
+
+// Leave makes the driver give the lease up and take no part in it any more.
+func (d *Driver) Leave() { close(d.leaving) }
+
+// active is a running session.
+type active struct {
+	epoch  int64
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+func (a *active) stop() {
+	a.cancel()
+	<-a.ended
+}
+
+// Run takes part in the lease until ctx ends or the driver leaves.
+func (d *Driver) Run(ctx context.Context) error {
+	var current *active
+	defer func() {
+		if current != nil {
+			current.stop()
+		}
+	}()
+	for {
+		d.step(ctx)
+		current = d.follow(ctx, current)
+		select {
+		case <-d.clock.After(renewal):
+		case <-d.leaving:
+			if current != nil {
+				current.stop()
+				current = nil
+			}
+			d.release(ctx)
+			<-ctx.Done()
+			return ctx.Err()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (d *Driver) step(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaseCall)
+	defer cancel()
+	if err := d.lease.Step(ctx); err != nil {
+		d.log.Info("lease not renewed", "cause", err.Error())
+	}
+}
+
+func (d *Driver) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaseCall)
+	defer cancel()
+	if err := d.lease.Release(ctx); err != nil {
+		d.log.Info("lease not released", "cause", err.Error())
+		return
+	}
+	d.log.Info("lease released")
+}
+
+// follow starts a session when this instance has taken the lease and ends it
+// when another one has. A lease that merely lapsed ends no session: results
+// are listed only while nobody else has claimed the jobs.
+func (d *Driver) follow(ctx context.Context, current *active) *active {
+	epoch, _, held := d.lease.Held()
+	record := d.lease.Record()
+	taken := record.Holder != "" && record.Holder != d.instance
+	if current != nil && (taken || held && epoch != current.epoch) {
+		d.log.Info("driving ends", "epoch", current.epoch, "holder", record.Holder, "its_epoch", record.Epoch)
+		current.stop()
+		current = nil
+	}
+	if current != nil || !held {
+		return current
+	}
+	d.log.Info("driving begins", "epoch", epoch, "previous", d.lease.Previous().Holder)
+	return d.start(ctx, epoch)
+}
+
+func (d *Driver) start(ctx context.Context, epoch int64) *active {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &session{
+		clock: d.clock, log: d.log, ledger: d.ledger, registry: d.registry, engines: d.engines,
+		loader: newLoader(d.clock, d.log, d.control, d.lease, d.instance, epoch),
+		holder: d.instance, epoch: epoch, wake: make(chan struct{}, 1),
+		jobs: map[string]*job{}, states: map[string]*engine{}, home: map[string]string{}, behind: map[string]int64{},
+		carry: newCarry(), adopted: map[string]bool{}, over: map[string]bool{},
+	}
+	follower := registry.NewFollower(d.clock, d.log, d.store, batch.OpenTable, func(update registry.Update) { s.apply(ctx, update) })
+	ended := make(chan struct{})
+	followed := make(chan error, 1)
+	go func() { followed <- follower.Run(ctx) }()
+	go func() {
+		defer close(ended)
+		s.run(ctx)
+		<-followed
+		s.running.Wait()
+	}()
+	return &active{epoch: epoch, cancel: cancel, ended: ended}
+}
--- /dev/null
+++ b/src/driver/engine.go
@@ -0,0 +1,196 @@
+// Package driver makes the samples of batch jobs: one instance at a time, under
+// a lease, places items on engines, keeps the engines' weights fresh enough and
+// lists the results.
+package driver
+
+import (
+	"slices"
+	"time"
+
+	"sesamepitch/src/registry"
+)
+
+const (
+	// paceWeight is the weight of the newest event in an engine's mean pace.
+	paceWeight = 0.1
+	// paceSamples is how many events make a pace worth comparing.
+	paceSamples = 8
+	// slowFactor is how many times the median pace makes an engine slow.
+	slowFactor = 1.7
+	// suspectTime is how long an engine gets no new item after it failed.
+	suspectTime = 1200 * time.Millisecond
+	// fullTime is how long an engine gets no new item after it said it was full.
+	fullTime = 60 * time.Millisecond
+	// affinity is what an engine that has read a group's prompt is worth, in
+	// units of a full engine.
+	affinity = 0.12
+	// paceCost is what an engine's pace beyond the median costs.
+	paceCost = 0.8
+	// reclaimCost is what an engine that may be taken away costs.
+	reclaimCost = 0.05
+)
+
+// engine is what the driver knows of an engine beside its entry in the list.
+type engine struct {
+	entry registry.Endpoint
+	// listed engines may get new items as far as the list says.
+	listed  bool
+	running int
+	// versions are the newest known weight versions by model.
+	versions map[string]int64
+	// loading is the model whose weights are being loaded, empty for none.
+	loading string
+	// orders is the number of orders that the engine has accepted.
+	orders       int64
+	suspectUntil time.Time
+	fullUntil    time.Time
+	// pace is the mean time between events, over paces events.
+	pace  time.Duration
+	paces int
+	// coldFrom is when the next item may go to the engine while it is cold.
+	coldFrom time.Time
+	// prompts are the groups whose prompt it has read, newest last.
+	prompts []string
+}
+
+const keptPrompts = 64
+
+func newEngine(entry registry.Endpoint) *engine {
+	e := &engine{}
+	e.reset(entry)
+	return e
+}
+
+// reset forgets all that an earlier process of the engine held.
+func (e *engine) reset(entry registry.Endpoint) {
+	running := e.running
+	*e = engine{entry: entry, listed: true, running: running, versions: map[string]int64{}, orders: entry.Orders}
+	e.learn(entry.Versions)
+}
+
+// update takes over a newer entry of the list.
+func (e *engine) update(entry registry.Endpoint) {
+	if entry.Born != e.entry.Born {
+		e.reset(entry)
+		return
+	}
+	e.listed = true
+	e.entry = entry
+	e.orders = max(e.orders, entry.Orders)
+	e.learn(entry.Versions)
+}
+
+// learn takes over newer weight versions.
+func (e *engine) learn(versions map[string]int64) {
+	for model, version := range versions {
+		e.versions[model] = max(e.versions[model], version)
+	}
+}
+
+// sawEvent takes the time since the event before into the mean pace.
+func (e *engine) sawEvent(gap time.Duration) {
+	e.paces++
+	if e.paces == 1 {
+		e.pace = gap
+		return
+	}
+	e.pace += time.Duration(paceWeight * float64(gap-e.pace))
+}
+
+func (e *engine) readPrompt(group string) {
+	if slices.Contains(e.prompts, group) {
+		return
+	}
+	e.prompts = append(e.prompts, group)
+	if len(e.prompts) > keptPrompts {
+		e.prompts = e.prompts[1:]
+	}
+}
+
+// isSlow compares the engine's pace with the median of all.
+func (e *engine) isSlow(median time.Duration) bool {
+	return median > 0 && e.paces >= paceSamples && float64(e.pace) > slowFactor*float64(median)
+}
+
+// medianPace returns the median pace of engines with enough events, zero if
+// there are none.
+func medianPace(engines map[string]*engine) time.Duration {
+	var paces []time.Duration
+	for _, e := range engines {
+		if e.paces >= paceSamples && e.listed {
+			paces = append(paces, e.pace)
+		}
+	}
+	if len(paces) == 0 {
+		return 0
+	}
+	slices.Sort(paces)
+	return paces[len(paces)/2]
+}
+
+// need is what an item asks of an engine.
+type need struct {
+	service    string
+	model      string
+	minVersion int64
+	group      string
+	// exact asks for one version, zero for any from minVersion on.
+	exact int64
+	// avoid is an engine that just failed the item.
+	avoid string
+}
+
+// fits tells whether an engine may get an item now.
+func (e *engine) fits(now time.Time, n need) bool {
+	version := e.versions[n.model]
+	switch {
+	case !e.listed || e.entry.Draining || e.entry.Service != n.service || !e.entry.LeavesAt.IsZero():
+		return false
+	case e.running >= e.entry.Slots || now.Before(e.fullUntil) || now.Before(e.suspectUntil):
+		return false
+	case version < n.minVersion || n.exact > 0 && version != n.exact:
+		return false
+	case e.loading == n.model:
+		return false
+	case now.Before(e.entry.ColdUntil) && now.Before(e.coldFrom):
+		return false
+	}
+	return true
+}
+
+// cost is smallest for the engine to take; median is the engines' median pace.
+func (e *engine) cost(n need, median time.Duration) float64 {
+	cost := float64(e.running) / float64(e.entry.Slots)
+	if median > 0 && e.paces >= paceSamples && e.pace > median {
+		cost += paceCost * (float64(e.pace)/float64(median) - 1)
+	}
+	if slices.Contains(e.prompts, n.group) {
+		cost -= affinity
+	}
+	if e.entry.Reclaimable {
+		cost += reclaimCost
+	}
+	if e.entry.ID == n.avoid {
+		cost++
+	}
+	return cost
+}
+
+// choose returns the cheapest engine that fits, nil if there is none. A slow
+// engine is taken only if no other one fits.
+func choose(engines map[string]*engine, now time.Time, n need) *engine {
+	median := medianPace(engines)
+	var best *engine
+	bestCost, bestSlow := 0.0, false
+	for _, e := range engines {
+		if !e.fits(now, n) {
+			continue
+		}
+		cost, slow := e.cost(n, median), e.isSlow(median)
+		better := best == nil || bestSlow && !slow || bestSlow == slow && (cost < bestCost || cost == bestCost && e.entry.ID < best.entry.ID)
+		if better {
+			best, bestCost, bestSlow = e, cost, slow
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/src/driver/loader.go
@@ -0,0 +1,159 @@
+package driver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	// loadPoll is the time between looks at an engine that loads weights.
+	loadPoll = 200 * time.Millisecond
+	// firstLook is the time from an order to the first look.
+	firstLook = 800 * time.Millisecond
+	// loadLimit is how long an engine may load before it is looked at as free.
+	loadLimit = 8 * time.Second
+	// orderAgain is the time after which an order without an answer is repeated.
+	orderAgain = 1500 * time.Millisecond
+	// leaseLead is how long the lease must still last for an order to go.
+	leaseLead = 600 * time.Millisecond
+)
+
+// Authority tells whether this instance is in charge.
+type Authority interface {
+	// Held returns the fencing number and the end of the lease; ok is false if
+	// this instance does not hold it.
+	Held() (epoch int64, until time.Time, ok bool)
+}
+
+// loader gives engines orders to load weights and watches them.
+type loader struct {
+	clock   sesamepitch.Clock
+	log     logr.Logger
+	control sesamepitch.EngineControl
+	lease   Authority
+	holder  string
+	epoch   int64
+
+	mu sync.Mutex
+	// loads counts the orders by model and version.
+	loads map[load]int
+}
+
+func newLoader(clock sesamepitch.Clock, log logr.Logger, control sesamepitch.EngineControl, lease Authority, holder string, epoch int64) *loader {
+	return &loader{clock: clock, log: log, control: control, lease: lease, holder: holder, epoch: epoch, loads: map[load]int{}}
+}
+
+// counts returns how many loads of each model's named version were ordered.
+func (l *loader) counts(named map[string]int64) map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := map[string]int{}
+	for model, version := range named {
+		counts[model] = l.loads[load{model: model, version: version}]
+	}
+	return counts
+}
+
+// mayOrder tells whether an order that goes now arrives under the lease.
+func (l *loader) mayOrder() bool {
+	epoch, until, held := l.lease.Held()
+	return held && epoch == l.epoch && until.Sub(l.clock.Now()) > leaseLead
+}
+
+// begin orders one load; it needs the session's mutex.
+func (l *loader) begin(ctx context.Context, s *session, e *engine, order load) {
+	if !l.mayOrder() {
+		return
+	}
+	e.loading = order.model
+	l.mu.Lock()
+	l.loads[load{model: order.model, version: order.version}]++
+	l.mu.Unlock()
+	to := sesamepitch.Destination{ID: e.entry.ID, Address: e.entry.Address}
+	after := e.orders
+	s.running.Add(1)
+	go func() {
+		defer s.running.Done()
+		loaded := l.carryOut(ctx, s, e, to, order, after)
+		s.mu.Lock()
+		e.loading = ""
+		if loaded {
+			e.versions[order.model] = max(e.versions[order.model], order.version)
+		} else {
+			e.suspectUntil = l.clock.Now().Add(suspectTime)
+		}
+		s.mu.Unlock()
+		s.wakeUp()
+	}()
+}
+
+// carryOut sends an order until it is accepted and waits until it is done.
+func (l *loader) carryOut(ctx context.Context, s *session, e *engine, to sesamepitch.Destination, order load, after int64) bool {
+	started := l.clock.Now()
+	sentAt := time.Time{}
+	accepted := false
+	for l.clock.Now().Sub(started) < loadLimit && ctx.Err() == nil {
+		if !accepted && (sentAt.IsZero() || l.clock.Now().Sub(sentAt) > orderAgain) {
+			if !l.mayOrder() {
+				return false
+			}
+			sentAt = l.clock.Now()
+			accepted = l.send(ctx, to, order, after)
+		}
+		if accepted {
+			l.pause(ctx, max(firstLook-l.clock.Now().Sub(sentAt), loadPoll))
+		} else {
+			l.pause(ctx, loadPoll)
+		}
+		report, err := l.control.Report(ctx, to)
+		if err != nil {
+			l.log.Info("engine gives no report", "engine", to.ID, "cause", err.Error())
+			continue
+		}
+		s.learnReport(e, report)
+		if report.Versions[order.model] >= order.version {
+			l.log.Info("weights loaded", "engine", to.ID, "model", order.model, "version", order.version,
+				"ms", l.clock.Now().Sub(started).Milliseconds())
+			return true
+		}
+		if report.Orders > after {
+			if !report.Busy && accepted && l.clock.Now().Sub(sentAt) > firstLook+loadPoll {
+				accepted = false
+			}
+			after = report.Orders
+		}
+	}
+	l.log.Info("weights not loaded", "engine", to.ID, "model", order.model, "version", order.version,
+		"ms", l.clock.Now().Sub(started).Milliseconds())
+	return false
+}
+
+// send sends an order once and tells whether the engine carries it out.
+func (l *loader) send(ctx context.Context, to sesamepitch.Destination, order load, after int64) bool {
+	err := l.control.Order(ctx, to, sesamepitch.WeightOrder{
+		Model: order.model, Version: order.version, Holder: l.holder, Fence: l.epoch, After: after,
+	})
+	l.log.Info("weights ordered", "engine", to.ID, "model", order.model, "version", order.version, "fence", l.epoch,
+		"after", after, "kind", string(sesamepitch.KindOf(err)), "cause", causeOf(err))
+	return err == nil
+}
+
+func (l *loader) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-l.clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// learnReport takes over what an engine says of itself.
+func (s *session) learnReport(e *engine, report sesamepitch.EngineReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.learn(report.Versions)
+	e.orders = max(e.orders, report.Orders)
+}
--- /dev/null
+++ b/src/driver/session.go
@@ -0,0 +1,317 @@
+package driver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/batch"
+	"sesamepitch/src/registry"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	// tick is the time between looks at what stands still or has become due.
+	tick = 50 * time.Millisecond
+	// adoptPause is the time between tries to take a job over.
+	adoptPause = 100 * time.Millisecond
+	// migrateGain is how much sooner a text must be whole elsewhere to move it.
+	migrateGain = 400 * time.Millisecond
+	// defaultDue is when results of a job are due whose route names no time.
+	defaultDue = 10 * time.Second
+	// defaultGiveUp is when items are given up where the route names no time.
+	defaultGiveUp = 10 * time.Minute
+)
+
+// session is the time for which this instance holds the lease with one epoch.
+type session struct {
+	clock    sesamepitch.Clock
+	log      logr.Logger
+	ledger   *batch.Ledger
+	registry *registry.Registry
+	engines  sesamepitch.Engines
+	loader   *loader
+	holder   string
+	epoch    int64
+	wake     chan struct{}
+	running  sync.WaitGroup
+
+	mu      sync.Mutex
+	jobs    map[string]*job
+	states  map[string]*engine
+	home    map[string]string
+	behind  map[string]int64
+	carry   *carry
+	// adopted are the jobs that were taken over or ended, over those that ended.
+	adopted map[string]bool
+	over    map[string]bool
+}
+
+// run drives jobs until ctx ends.
+func (s *session) run(ctx context.Context) {
+	for {
+		s.step(ctx)
+		changed := s.registry.Changed()
+		select {
+		case <-s.wake:
+		case <-changed:
+		case <-s.clock.After(tick):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *session) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// step brings everything in line with the present.
+func (s *session) step(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	s.syncEngines()
+	s.endStalled(now)
+	s.migrate(now)
+	s.giveUpDue(now)
+	s.place(ctx, now)
+	s.orderLoads(ctx, now)
+	s.carry.forget(now)
+}
+
+// syncEngines takes over the list of endpoints of services that hold models.
+func (s *session) syncEngines() {
+	config := s.registry.Config()
+	if config == nil {
+		return
+	}
+	for _, e := range s.states {
+		e.listed = false
+	}
+	for name, service := range config.Services {
+		if len(service.Models) == 0 {
+			continue
+		}
+		for _, entry := range s.registry.Endpoints(name) {
+			if known := s.states[entry.ID]; known != nil {
+				known.update(entry)
+				continue
+			}
+			s.states[entry.ID] = newEngine(entry)
+		}
+	}
+	for id, e := range s.states {
+		if !e.listed && e.running == 0 && e.loading == "" {
+			delete(s.states, id)
+		}
+	}
+}
+
+// endStalled ends runs whose engine has been silent for too long.
+func (s *session) endStalled(now time.Time) {
+	for _, t := range s.runningTasks() {
+		limit := firstEventTime
+		if t.run.gotEvent {
+			limit = gapTime
+		}
+		if now.Sub(t.run.lastEvent) > limit && t.run.why == "" {
+			t.run.engine.suspectUntil = now.Add(suspectTime)
+			s.stop(t.run, "engine is silent")
+		}
+	}
+}
+
+// stop ends a run from this side; its task goes on with the text so far.
+func (s *session) stop(r *run, why string) {
+	r.why = why
+	r.cancel()
+}
+
+func (s *session) runningTasks() []*task {
+	var tasks []*task
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			if t.run != nil {
+				tasks = append(tasks, t)
+			}
+		}
+	}
+	return tasks
+}
+
+// migrate moves texts away from engines that are slow or about to leave, while
+// another engine has room.
+func (s *session) migrate(now time.Time) {
+	median := medianPace(s.states)
+	for _, t := range s.runningTasks() {
+		e := t.run.engine
+		leaving := !e.entry.LeavesAt.IsZero() && e.entry.LeavesAt.Sub(now) < t.expectedLeft(max(e.pace, median))
+		if t.run.why != "" || !leaving && !e.isSlow(median) {
+			continue
+		}
+		gain := t.expectedLeft(e.pace) - t.expectedLeft(median)
+		if !leaving && gain < migrateGain {
+			continue
+		}
+		other := choose(s.states, now, s.needOf(t))
+		if other == nil || other == e || other.isSlow(median) {
+			continue
+		}
+		s.stop(t.run, "moved to a faster engine")
+		t.avoid = e.entry.ID
+		t.notBefore = time.Time{}
+	}
+}
+
+// giveUpDue ends the items of jobs whose time is over.
+func (s *session) giveUpDue(now time.Time) {
+	for _, j := range s.jobs {
+		if now.Before(j.giveUp) {
+			continue
+		}
+		for _, t := range j.tasks {
+			if !t.finished {
+				s.log.Info("item given up", "job", j.ID, "item", t.item.ID, "failures", t.failures, "breaks", t.breaks)
+				s.finish(t, t.dead())
+				s.abandon(t)
+			}
+		}
+	}
+}
+
+// abandon ends a task's run for good.
+func (s *session) abandon(t *task) {
+	if t.run != nil {
+		s.carry.keep(t, false, s.clock.Now())
+		s.stop(t.run, "job is over")
+	}
+}
+
+// needOf returns what a task asks of an engine. An empty service means that no
+// route allows the task now.
+func (s *session) needOf(t *task) need {
+	n := need{model: t.job.Model, minVersion: t.job.MinVersion, group: t.item.Group, avoid: t.avoid}
+	config := s.registry.Config()
+	if config == nil {
+		return n
+	}
+	if route, found := config.Match(t.job.Host, t.item.Path); found {
+		n.service = route.Split[0].Service
+	}
+	if t.job.single && len(t.text.versions) == 1 {
+		n.exact = t.text.versions[0]
+	}
+	return n
+}
+
+func (s *session) maxAttempts(t *task) int {
+	config := s.registry.Config()
+	if config == nil {
+		return 1
+	}
+	route, _ := config.Match(t.job.Host, t.item.Path)
+	return max(route.MaxAttempts, 1)
+}
+
+func (s *session) coldPause(e *engine) time.Duration {
+	config := s.registry.Config()
+	if config == nil || config.Services[e.entry.Service].ColdRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / config.Services[e.entry.Service].ColdRate)
+}
+
+// place starts waiting tasks, the most urgent first.
+func (s *session) place(ctx context.Context, now time.Time) {
+	var waiting []*task
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			if !t.finished && t.run == nil && !now.Before(t.notBefore) {
+				waiting = append(waiting, t)
+			}
+		}
+	}
+	byUrgency(waiting, now, medianPace(s.states))
+	for _, t := range waiting {
+		n := s.needOf(t)
+		if n.service == "" {
+			continue
+		}
+		if e := choose(s.states, now, n); e != nil {
+			s.start(ctx, t, e)
+		}
+	}
+}
+
+// orderLoads asks for the weights that the plan wants.
+func (s *session) orderLoads(ctx context.Context, now time.Time) {
+	config := s.registry.Config()
+	if config == nil {
+		return
+	}
+	named := s.registry.Versions()
+	for name, service := range config.Services {
+		models := namedModels(service.Models, named)
+		if len(models) == 0 {
+			continue
+		}
+		engines := s.enginesOf(name)
+		s.home = homes(s.home, engines, models)
+		in := planInput{
+			now: now, engines: engines, models: models, named: named, behind: s.behindOf(models),
+			waiting: s.waitingByModel(), loads: s.loader.counts(named),
+		}
+		for _, l := range plan(in, s.home) {
+			s.loader.begin(ctx, s, s.states[l.engine], l)
+		}
+	}
+}
+
+func namedModels(models []string, named map[string]int64) []string {
+	var found []string
+	for _, model := range models {
+		if named[model] > 0 {
+			found = append(found, model)
+		}
+	}
+	return found
+}
+
+func (s *session) enginesOf(service string) map[string]*engine {
+	engines := map[string]*engine{}
+	for id, e := range s.states {
+		if e.entry.Service == service && e.listed {
+			engines[id] = e
+		}
+	}
+	return engines
+}
+
+func (s *session) behindOf(models []string) map[string]int64 {
+	behind := map[string]int64{}
+	for _, model := range models {
+		behind[model] = versionsBehind
+		if known, found := s.behind[model]; found {
+			behind[model] = known
+		}
+	}
+	return behind
+}
+
+func (s *session) waitingByModel() map[string]int {
+	waiting := map[string]int{}
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			if !t.finished && t.run == nil {
+				waiting[j.Model]++
+			}
+		}
+	}
+	return waiting
+}
--- /dev/null
+++ b/src/driver/task.go
@@ -0,0 +1,97 @@
+package driver
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/batch"
+)
+
+const (
+	// meanEvents is expected of an item whose trainer gave no estimate.
+	meanEvents = 30
+	// usualPace is expected of engines before events have been seen.
+	usualPace = 40 * time.Millisecond
+	// tokensPerEvent turns an estimate in tokens into events until texts have
+	// shown the figure.
+	tokensPerEvent = 59
+)
+
+// task is an item on its way to a result.
+type task struct {
+	item batch.Item
+	job  *job
+	text text
+	// failures counts answers that the engine failed after it ran the item,
+	// breaks the runs that broke off before their first event.
+	failures int
+	breaks   int
+	// notBefore holds a task back after a failure.
+	notBefore time.Time
+	// run is the present run, nil while the task waits.
+	run       *run
+	avoid     string
+	waitSince time.Time
+	finished  bool
+}
+
+// text is what is known of an item's output.
+type text struct {
+	events   []string
+	versions []int64
+}
+
+// add appends an event.
+func (t *text) add(event sesamepitch.Event) {
+	t.events = append(t.events, event.Data)
+	if !slices.Contains(t.versions, event.Version) {
+		t.versions = append(t.versions, event.Version)
+		slices.Sort(t.versions)
+	}
+}
+
+// allowed tells whether the text may stand in a job that allows versions from
+// least on, and one of them only if single is set.
+func (t *text) allowed(least int64, single bool) bool {
+	if single && len(t.versions) > 1 {
+		return false
+	}
+	return len(t.versions) == 0 || t.versions[0] >= least
+}
+
+// result is the task's outcome once its text is whole.
+func (t *task) result() batch.Result {
+	return batch.Result{ID: t.item.ID, State: batch.Done, Text: strings.Join(t.text.events, "\n"), Versions: t.text.versions}
+}
+
+func (t *task) dead() batch.Result {
+	return batch.Result{ID: t.item.ID, State: batch.Dead, Versions: []int64{}}
+}
+
+// expectedLeft estimates the time that the rest of the text takes.
+func (t *task) expectedLeft(pace time.Duration) time.Duration {
+	events := int64(meanEvents)
+	if t.item.ExpectedTokens > 0 {
+		events = t.item.ExpectedTokens / tokensPerEvent
+	}
+	left := max(events-int64(len(t.text.events)), 1)
+	return time.Duration(left) * pace
+}
+
+// byUrgency orders waiting tasks by the time that is left beyond what they
+// take: the longest of a job first, and the older of two jobs.
+func byUrgency(tasks []*task, now time.Time, pace time.Duration) {
+	if pace <= 0 {
+		pace = usualPace
+	}
+	slices.SortStableFunc(tasks, func(a, b *task) int {
+		return cmp.Compare(a.slack(now, pace), b.slack(now, pace))
+	})
+}
+
+func (t *task) slack(now time.Time, pace time.Duration) time.Duration {
+	return t.job.due.Sub(now) - t.expectedLeft(pace)
+}
--- /dev/null
+++ b/src/driver/weights.go
@@ -0,0 +1,242 @@
+package driver
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// loadsShare is one over the part of the engines that load at the same time;
+	// more would make each load slower.
+	loadsShare = 6
+	leastLoads = 2
+	// versionsBehind is how many versions an engine may be behind and still
+	// serve the next step, where no job has shown another figure.
+	versionsBehind = 1
+	// crowded is how many items of a model wait before an engine beyond its own
+	// is loaded for it.
+	crowded = 6
+)
+
+// load is an order that the plan asks for.
+type load struct {
+	engine  string
+	model   string
+	version int64
+}
+
+// planInput is what decides which engines load which weights.
+type planInput struct {
+	now time.Time
+	// engines of one service, and the models that they hold.
+	engines map[string]*engine
+	models  []string
+	// named are the newest versions by model.
+	named map[string]int64
+	// behind is how many versions older than the newest the jobs allow.
+	behind map[string]int64
+	// waiting counts the items that wait for an engine, by model.
+	waiting map[string]int
+	// loads counts the loads of the newest version, by model.
+	loads map[string]int
+}
+
+// homes deals the engines out to the models: an engine keeps its model, a new
+// one gets the model with the fewest, and the largest share gives one away
+// while it has two more than the smallest.
+func homes(old map[string]string, engines map[string]*engine, models []string) map[string]string {
+	next := map[string]string{}
+	if len(models) == 0 {
+		return next
+	}
+	counts := map[string]int{}
+	var fresh []string
+	for _, id := range sortedEngines(engines) {
+		model, known := old[id]
+		if known && slices.Contains(models, model) {
+			next[id] = model
+			counts[model]++
+			continue
+		}
+		fresh = append(fresh, id)
+	}
+	for _, id := range fresh {
+		model := fewest(models, counts)
+		next[id] = model
+		counts[model]++
+	}
+	for {
+		small, large := fewest(models, counts), most(models, counts)
+		if counts[large]-counts[small] < 2 {
+			return next
+		}
+		id := lastOf(next, engines, large)
+		next[id] = small
+		counts[large]--
+		counts[small]++
+	}
+}
+
+// sortedEngines lists the usable engines by data centre, so that a model's
+// engines stand in different ones.
+func sortedEngines(engines map[string]*engine) []string {
+	var ids []string
+	for id, e := range engines {
+		if e.listed && !e.entry.Draining {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		byCentre := cmp.Compare(engines[a].entry.Centre, engines[b].entry.Centre)
+		return cmp.Or(byCentre, cmp.Compare(a, b))
+	})
+	return ids
+}
+
+func fewest(models []string, counts map[string]int) string {
+	return slices.MinFunc(models, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
+}
+
+func most(models []string, counts map[string]int) string {
+	return slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
+}
+
+func lastOf(homes map[string]string, engines map[string]*engine, model string) string {
+	ids := sortedEngines(engines)
+	for i := len(ids) - 1; i >= 0; i-- {
+		if homes[ids[i]] == model {
+			return ids[i]
+		}
+	}
+	return ""
+}
+
+// plan returns the loads to order now, the most urgent first: engines whose
+// version the next step will not allow, then engines for models whose items
+// wait, then engines that are merely behind, as far as loads are free.
+func plan(in planInput, home map[string]string) []load {
+	room := loadsAtOnce(len(in.engines)) - loadingNow(in.engines)
+	if room <= 0 {
+		return nil
+	}
+	wanted := expired(in, home)
+	wanted = append(wanted, extra(in, home)...)
+	if len(wanted) == 0 {
+		wanted = refresh(in, home)
+	}
+	return distinct(wanted, room)
+}
+
+func loadsAtOnce(engines int) int { return max(leastLoads, engines/loadsShare) }
+
+func loadingNow(engines map[string]*engine) int {
+	count := 0
+	for _, e := range engines {
+		if e.loading != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// mayLoad tells whether an engine can take an order now.
+func (in planInput) mayLoad(e *engine) bool {
+	return e.listed && !e.entry.Draining && e.loading == "" && e.entry.LeavesAt.IsZero() && !in.now.Before(e.suspectUntil)
+}
+
+// expired lists home engines that the newest version's step does not allow,
+// the models with the fewest fresh engines first.
+func expired(in planInput, home map[string]string) []load {
+	fresh := map[string]int{}
+	var wanted []load
+	for _, id := range slices.Sorted(maps.Keys(home)) {
+		model, e := home[id], in.engines[id]
+		if e.versions[model] >= in.named[model]-in.behind[model] {
+			fresh[model]++
+			continue
+		}
+		if in.mayLoad(e) {
+			wanted = append(wanted, load{id, model, in.named[model]})
+		}
+	}
+	// One of each model in turn, starting with the model that is worst off.
+	turn := map[string]int{}
+	rank := make([]int, len(wanted))
+	for i, l := range wanted {
+		rank[i] = fresh[l.model] + turn[l.model]
+		turn[l.model]++
+	}
+	return sortByRank(wanted, rank)
+}
+
+func sortByRank(loads []load, rank []int) []load {
+	order := make([]int, len(loads))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(rank[a], rank[b]) })
+	sorted := make([]load, len(loads))
+	for i, k := range order {
+		sorted[i] = loads[k]
+	}
+	return sorted
+}
+
+// extra lists idle engines of other models for models whose items wait.
+func extra(in planInput, home map[string]string) []load {
+	var wanted []load
+	for _, model := range slices.Sorted(maps.Keys(in.waiting)) {
+		if in.waiting[model] < crowded {
+			continue
+		}
+		var best *engine
+		for id, e := range in.engines {
+			idle := e.running <= e.entry.Slots/3
+			if home[id] == model || !idle || !in.mayLoad(e) || e.versions[model] >= in.named[model]-in.behind[model] {
+				continue
+			}
+			if best == nil || e.running < best.running || e.running == best.running && id < best.entry.ID {
+				best = e
+			}
+		}
+		if best != nil {
+			wanted = append(wanted, load{best.entry.ID, model, in.named[model]})
+		}
+	}
+	return wanted
+}
+
+// refresh lists home engines that are behind but still allowed, while loads of
+// the newest version are free.
+func refresh(in planInput, home map[string]string) []load {
+	free := map[string]int{}
+	for _, model := range in.models {
+		free[model] = len(home)/max(len(in.models), 1) - in.loads[model]
+	}
+	var wanted []load
+	for _, id := range slices.Sorted(maps.Keys(home)) {
+		model, e := home[id], in.engines[id]
+		if e.versions[model] >= in.named[model] || !in.mayLoad(e) || free[model] <= 0 {
+			continue
+		}
+		free[model]--
+		wanted = append(wanted, load{id, model, in.named[model]})
+	}
+	return wanted
+}
+
+// distinct keeps the first load of each engine, up to room of them.
+func distinct(wanted []load, room int) []load {
+	seen := map[string]bool{}
+	var kept []load
+	for _, l := range wanted {
+		if seen[l.engine] || len(kept) >= room {
+			continue
+		}
+		seen[l.engine] = true
+		kept = append(kept, l)
+	}
+	return kept
+}
--- a/src/error.go
+++ b/src/error.go
@@ -30,6 +30,8 @@
 	KindTimeout Kind = "timeout"
 	// KindCrashed means the endpoint broke off during the request.
 	KindCrashed Kind = "crashed"
+	// KindFailed means the endpoint ran the request and answered with a failure.
+	KindFailed Kind = "failed"
 	// KindQuarantined means the content crashed endpoints before.
 	KindQuarantined Kind = "quarantined"
 	// KindStale means the weights are older than allowed.
--- /dev/null
+++ b/src/instance/metrics.go
@@ -0,0 +1,77 @@
+package instance
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// metrics are the instance's measurements.
+type metrics struct {
+	registry *prometheus.Registry
+	answers  *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+}
+
+func newMetrics(i *Instance) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesamepitch_answers_total", Help: "Callers' requests by method and status.",
+		}, []string{"method", "status"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sesamepitch_answer_seconds", Help: "Time of callers' requests by method.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 3, 9),
+		}, []string{"method"}),
+	}
+	m.registry.MustRegister(m.answers, m.seconds, collectors.NewGoCollector())
+	m.gauge("sesamepitch_config_version", "Version of the configuration in force.", func() float64 { return float64(i.configVersion()) })
+	m.gauge("sesamepitch_driver", "Whether this instance drives the jobs.", func() float64 {
+		if _, _, held := i.lease.Held(); held {
+			return 1
+		}
+		return 0
+	})
+	m.gauge("sesamepitch_endpoints", "Endpoints known.", func() float64 { return float64(len(i.registry.All())) })
+	m.gauge("sesamepitch_body_bytes", "Bytes of callers' bodies held.", func() float64 { return float64(i.memory.Held()) })
+	m.gauge("sesamepitch_log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(i.lines.Dropped()) })
+	return m
+}
+
+func (m *metrics) gauge(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader notes the status and sends it.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets http.ResponseController reach the writer below.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// observe counts and times the answers of a handler.
+func (m *metrics) observe(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		start := time.Now()
+		watched := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		next.ServeHTTP(watched, r)
+		m.answers.WithLabelValues(r.Method, strconv.Itoa(watched.status)).Inc()
+		m.seconds.WithLabelValues(r.Method).Observe(time.Since(start).Seconds())
+	})
+}
--- /dev/null
+++ b/src/registry/members.go
@@ -0,0 +1,134 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/platform"
+
+	"github.com/go-logr/logr"
+)
+
+// MemberTable has a row for each instance.
+const MemberTable = "member"
+
+const (
+	// announceEvery is the time between renewals of this instance's row.
+	announceEvery = 5 * time.Second
+	// announceRetry is the time between tries that failed.
+	announceRetry = 500 * time.Millisecond
+	announceTime  = 1500 * time.Millisecond
+	// memberTime is how long an instance counts as present after its renewal.
+	memberTime = 16 * time.Second
+)
+
+// member is the row of an instance.
+type member struct {
+	Address string `json:"address"`
+	Started int64  `json:"started"`
+	Renewal int64  `json:"renewal"`
+}
+
+// Members lists the instances by their rows.
+type Members struct {
+	clock   sesamepitch.Clock
+	log     logr.Logger
+	table   sesamepitch.Table
+	name    string
+	address string
+	seeds   []string
+	started int64
+
+	mu      sync.Mutex
+	known   map[string]seenMember
+	renewal int64
+}
+
+type seenMember struct {
+	address string
+	seen    time.Time
+}
+
+// NewMembers returns the list for an instance with an address for peers; seeds
+// are asked before any row is known.
+func NewMembers(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, name, address string, seeds []string) *Members {
+	return &Members{
+		clock: clock, log: log, table: table, name: name, address: address, seeds: seeds,
+		started: clock.Now().UnixMilli(), known: map[string]seenMember{},
+	}
+}
+
+// Apply takes changes of MemberTable.
+func (m *Members) Apply(update Update) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, row := range update.Rows {
+		name := row.Key[strings.LastIndexByte(row.Key, '/')+1:]
+		var decoded member
+		if row.Deleted || json.Unmarshal(row.Value, &decoded) != nil {
+			delete(m.known, name)
+			continue
+		}
+		m.known[name] = seenMember{address: decoded.Address, seen: m.clock.Now()}
+	}
+}
+
+// Peers returns the addresses of the other instances, the seeds last.
+func (m *Members) Peers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var peers []string
+	listed := map[string]bool{m.address: true}
+	now := m.clock.Now()
+	for _, other := range m.known {
+		if !listed[other.address] && now.Sub(other.seen) < memberTime {
+			listed[other.address] = true
+			peers = append(peers, other.address)
+		}
+	}
+	for _, seed := range m.seeds {
+		if !listed[seed] {
+			peers = append(peers, seed)
+		}
+	}
+	return peers
+}
+
+// Run keeps this instance's row until ctx ends.
+func (m *Members) Run(ctx context.Context) error {
+	for {
+		wait := announceEvery
+		if err := m.announce(ctx); err != nil {
+			m.log.Info("instance not announced", "cause", err.Error())
+			wait = announceRetry
+		}
+		select {
+		case <-m.clock.After(wait):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (m *Members) announce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTime)
+	defer cancel()
+	m.renewal++
+	row := member{Address: m.address, Started: m.started, Renewal: m.renewal}
+	_, err := m.table.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: memberKey(m.name), Value: platform.Encode(row)}}})
+	return err
+}
+
+// Leave removes this instance's row.
+func (m *Members) Leave(ctx context.Context) {
+	_, err := m.table.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: memberKey(m.name), Delete: true}}})
+	if err != nil {
+		m.log.Info("instance's row not removed", "cause", err.Error())
+	}
+}
+
+func memberKey(name string) string { return MemberTable + "//" + name }
--- a/src/site/settings.go
+++ b/src/site/settings.go
@@ -21,6 +21,8 @@
 	Callers   string
 	Readiness string
 	Peers     string
+	// Metrics is the IP:port of the metrics; not served if empty.
+	Metrics string
 	// Seeds are Peers addresses of other instances; they may be out of date.
 	Seeds []string
 	// Store and Duties are the IP:port of the platform's store and of the
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -86,8 +86,8 @@
 }
 
 // Engines starts generations. Errors of Generate are of the kinds
-// KindUnavailable (not run), KindCrashed (the engine answered with a failure
-// after it ran), KindInvalid (the sample can never be made) and KindUnknown.
+// KindUnavailable (not run), KindFailed (the engine answered with a failure
+// after it ran it), KindInvalid (the sample can never be made) and KindUnknown.
 type Engines interface {
 	Generate(ctx context.Context, to Destination, sample Sample) (Generation, error)
 }
