Weight orders count on the engine's report

Cause: an endpoint's entry has a field of the same name as the report's count of orders; there it counts heartbeats.

Change: the count comes from a report before the first order to an engine.

--- a/src/command/entry.go
+++ b/src/command/entry.go
@@ -14,20 +14,28 @@
 
 // entryInstance runs an entry instance on the users' platform.
 func entryInstance(env environment, o EntryOptions) error {
-	settings, err := platform.ReadSettings()
+	settings, err := readSettings(o)
 	if err != nil {
 		return usageError{err.Error()}
 	}
-	if o.MetricsPort > 0 {
-		settings.Metrics = net.JoinHostPort(settings.Source, strconv.Itoa(o.MetricsPort))
-	}
-	running, err := instance.New(settings, newAdapter(settings), env.out, newLog)
+	adapter := newAdapter(settings)
+	adapter.Reload = func() (site.Settings, error) { return readSettings(o) }
+	running, err := instance.New(settings, adapter, env.out, newLog)
 	if err != nil {
 		return err
 	}
 	return running.Run(env.ctx)
 }
 
+// readSettings reads the settings file and adds what the command line says.
+func readSettings(o EntryOptions) (site.Settings, error) {
+	settings, err := platform.ReadSettings()
+	if o.MetricsPort > 0 {
+		settings.Metrics = net.JoinHostPort(settings.Source, strconv.Itoa(o.MetricsPort))
+	}
+	return settings, err
+}
+
 // newAdapter connects an instance to the users' platform.
 func newAdapter(settings site.Settings) instance.Adapter {
 	sender := platform.NewSender(settings.Source)
@@ -47,8 +55,7 @@
 		Callers: func(g *gateway.Gateway, memory *instance.Memory) http.Handler {
 			return platform.NewServer(g, memory)
 		},
-		Ready:  platform.ReadyHandler,
-		Keep:   sender.Keep,
-		Reload: platform.ReadSettings,
+		Ready: platform.ReadyHandler,
+		Keep:  sender.Keep,
 	}
 }
--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -40,7 +40,8 @@
 	versions map[string]int64
 	// loading is the model whose weights are being loaded, empty for none.
 	loading string
-	// orders is the number of orders that the engine has accepted.
+	// orders is the number of orders that the engine has accepted, unknownOrders
+	// before it was asked.
 	orders       int64
 	suspectUntil time.Time
 	fullUntil    time.Time
@@ -53,7 +54,11 @@
 	prompts []string
 }
 
-const keptPrompts = 64
+const (
+	// keptPrompts bounds the prompts remembered for an engine.
+	keptPrompts   = 64
+	unknownOrders = -1
+)
 
 func newEngine(entry registry.Endpoint) *engine {
 	e := &engine{}
@@ -64,7 +69,7 @@
 // reset forgets all that an earlier process of the engine held.
 func (e *engine) reset(entry registry.Endpoint) {
 	running := e.running
-	*e = engine{entry: entry, listed: true, running: running, versions: map[string]int64{}, orders: entry.Orders}
+	*e = engine{entry: entry, listed: true, running: running, versions: map[string]int64{}, orders: unknownOrders}
 	e.learn(entry.Versions)
 }
 
@@ -76,7 +81,6 @@
 	}
 	e.listed = true
 	e.entry = entry
-	e.orders = max(e.orders, entry.Orders)
 	e.learn(entry.Versions)
 }
 
--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -97,6 +97,15 @@
 	started := l.clock.Now()
 	sentAt := time.Time{}
 	accepted := false
+	if after == unknownOrders {
+		report, err := l.control.Report(ctx, to)
+		if err != nil {
+			l.log.Info("engine gives no report", "engine", to.ID, "cause", err.Error())
+			return false
+		}
+		s.learnReport(e, report)
+		after = report.Orders
+	}
 	for l.clock.Now().Sub(started) < loadLimit && ctx.Err() == nil {
 		if !accepted && (sentAt.IsZero() || l.clock.Now().Sub(sentAt) > orderAgain) {
 			if !l.mayOrder() {
--- a/src/registry/endpoint.go
+++ b/src/registry/endpoint.go
@@ -23,8 +23,6 @@
 	// Born is the start of the endpoint's process in Unix milliseconds; another
 	// value means that it has forgotten all.
 	Born int64
-	// Orders is how many orders the process had accepted.
-	Orders int64
 	// Revision is the version of the entry's row.
 	Revision int64
 }
