--- /dev/null
+++ b/src/batch/progress.go
@@ -0,0 +1,98 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/platform"
+)
+
+const progressTable = "progress"
+
+// ProgressRows bounds the parts of texts that one Append keeps.
+const ProgressRows = 8
+
+// Progress is a part of an item's text that is not whole yet, kept for a
+// process that takes the job over.
+type Progress struct {
+	// Item is the item's index in its job.
+	Item int `json:"-"`
+	// Lineage tells texts of one item apart that do not continue each other; a
+	// later text has a higher one.
+	Lineage int64 `json:"-"`
+	// From is the index of the first event.
+	From     int      `json:"-"`
+	Events   []string `json:"events"`
+	Versions []int64  `json:"versions"`
+}
+
+func progressKey(id string, p Progress) string {
+	return fmt.Sprintf("%s/%s/%05d/%015d/%06d", progressTable, id, p.Item, p.Lineage, p.From)
+}
+
+// PartBytes is about how many bytes of events fit into one Progress.
+const PartBytes = chunkBytes / 2
+
+func progressWrites(id string, progress []Progress) []sesamepitch.Write {
+	var writes []sesamepitch.Write
+	for _, p := range progress {
+		writes = append(writes, sesamepitch.Write{Key: progressKey(id, p), Value: platform.Encode(p)})
+	}
+	return writes
+}
+
+// Progress returns for each item the newest text that was kept.
+func (l *Ledger) Progress(ctx context.Context, id string) (map[int]Progress, error) {
+	rows, err := l.store.List(ctx, progressTable+"/"+id+"/")
+	if err != nil {
+		return nil, &Error{Op: "batch.progress", Kind: sesamepitch.KindUnavailable, Err: err}
+	}
+	texts := map[int]Progress{}
+	for _, row := range rows {
+		part, err := decodeProgress(row)
+		if err != nil {
+			return nil, err
+		}
+		texts[part.Item] = joinProgress(texts[part.Item], part)
+	}
+	return texts, nil
+}
+
+// joinProgress appends a part to a text of the same lineage; the first part of
+// a later lineage replaces the text. Parts come in the order of their keys.
+func joinProgress(text, part Progress) Progress {
+	if part.Lineage > text.Lineage && part.From == 0 {
+		return part
+	}
+	if part.Lineage != text.Lineage || part.From != len(text.Events) {
+		return text
+	}
+	text.Events = append(text.Events, part.Events...)
+	text.Versions = append(text.Versions, part.Versions...)
+	return text
+}
+
+func decodeProgress(row sesamepitch.Row) (Progress, error) {
+	var part Progress
+	fields := strings.Split(row.Key, "/")
+	numbers := make([]int64, 0, 3)
+	for _, field := range fields[min(2, len(fields)):] {
+		number, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			return part, &Error{Op: "batch.progress " + row.Key, Kind: sesamepitch.KindInternal, Err: err}
+		}
+		numbers = append(numbers, number)
+	}
+	if len(numbers) != 3 {
+		return part, &Error{Op: "batch.progress " + row.Key, Kind: sesamepitch.KindInternal}
+	}
+	if err := json.Unmarshal(row.Value, &part); err != nil {
+		return part, &Error{Op: "batch.progress " + row.Key, Kind: sesamepitch.KindInternal, Err: err}
+	}
+	part.Item, part.Lineage, part.From = int(numbers[0]), numbers[1], int(numbers[2])
+	return part, nil
+}
--- a/src/batch/results.go
+++ b/src/batch/results.go
@@ -26,6 +26,8 @@
 	Epoch  int64  `json:"epoch"`
 	// Count is the number of results listed.
 	Count int `json:"count"`
+	// Renewal tells appends apart that list no result.
+	Renewal int64 `json:"renewal"`
 }
 
 // Claim is the right to append a job's results. It ends when another process
@@ -35,10 +37,11 @@
 	id      string
 	mark    Mark
 	version int64
+	first   bool
 }
 
-// Count returns the number of results listed.
-func (c *Claim) Count() int { return c.mark.Count }
+// IsFirst tells whether nobody had claimed the job before.
+func (c *Claim) IsFirst() bool { return c.first }
 
 // Claim takes a job over; the former holder's claim ends. KindConflict means
 // that a holder with a higher epoch has it.
@@ -52,17 +55,18 @@
 		return nil, &Error{Op: "batch.claim", Kind: sesamepitch.KindConflict, Err: errFenced}
 	}
 	mark.Holder, mark.Epoch = holder, epoch
-	claim := &Claim{ledger: l, id: id, mark: mark, version: version}
+	claim := &Claim{ledger: l, id: id, mark: mark, version: version, first: version == 0}
 	return claim, claim.commit(ctx, mark, nil)
 }
 
-// Append lists results at the next positions, all or none. KindConflict means
-// that the claim has ended, KindUnavailable that nothing happened, KindUnknown
-// that the same call must be repeated.
-func (c *Claim) Append(ctx context.Context, results []Result) error {
+// Append lists results at the next positions and keeps progress, all or none.
+// KindConflict means that the claim has ended, KindUnavailable that nothing
+// happened, KindUnknown that the same call must be repeated.
+func (c *Claim) Append(ctx context.Context, results []Result, progress []Progress) error {
 	next := c.mark
 	next.Count += len(results)
-	var writes []sesamepitch.Write
+	next.Renewal++
+	writes := progressWrites(c.id, progress)
 	for i, result := range results {
 		for k, chunk := range split(platform.Encode(result)) {
 			writes = append(writes, sesamepitch.Write{Key: resultKey(c.id, c.mark.Count+i, k), Value: chunk})
--- a/src/driver/adopt.go
+++ b/src/driver/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
@@ -47,10 +48,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for {
-		j, done, err := s.load(ctx, head)
+		j, before, err := s.load(ctx, head)
 		if err == nil {
 			j.cancel = cancel
-			s.add(j, done)
+			s.add(j, before)
 			s.commit(ctx, j)
 			return
 		}
@@ -67,25 +68,36 @@
 	}
 }
 
-// load reads a job, claims it and reads which results are listed.
-func (s *session) load(ctx context.Context, head batch.Head) (*job, []batch.Result, error) {
+// before is what earlier drivers have made of a job.
+type before struct {
+	done  []batch.Result
+	texts map[int]batch.Progress
+}
+
+// load reads a job, claims it and reads what there is of its results.
+func (s *session) load(ctx context.Context, head batch.Head) (*job, before, error) {
 	loaded, err := s.ledger.Job(ctx, head)
 	if err != nil {
-		return nil, nil, err
+		return nil, before{}, err
 	}
 	claim, err := s.ledger.Claim(ctx, head.ID, s.holder, s.epoch)
 	if err != nil {
-		return nil, nil, err
+		return nil, before{}, err
 	}
-	var done []batch.Result
-	if claim.Count() > 0 {
-		done, err = s.ledger.All(ctx, head.ID)
+	j := &job{Job: loaded, claim: claim, wake: make(chan struct{}, 1), handOver: make(chan chan struct{})}
+	if claim.IsFirst() {
+		return j, before{}, nil
 	}
-	return &job{Job: loaded, claim: claim, wake: make(chan struct{}, 1)}, done, err
+	done, err := s.ledger.All(ctx, head.ID)
+	if err != nil {
+		return nil, before{}, err
+	}
+	texts, err := s.ledger.Progress(ctx, head.ID)
+	return j, before{done: done, texts: texts}, err
 }
 
 // add puts a job's items in line.
-func (s *session) add(j *job, done []batch.Result) {
+func (s *session) add(j *job, earlier before) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.wakeUp()
@@ -97,19 +109,18 @@
 	now := s.clock.Now()
 	s.setTimes(j)
 	finished := map[string]bool{}
-	for _, result := range done {
+	for _, result := range earlier.done {
 		finished[result.ID] = true
 	}
-	j.listed = len(done)
+	j.listed = len(earlier.done)
 	known := 0
-	for _, item := range j.Items {
-		t := &task{item: item, job: j, waitSince: now, finished: finished[item.ID]}
+	for i, item := range j.Items {
+		t := &task{item: item, job: j, index: i, waitSince: now, finished: finished[item.ID], lineage: s.epoch << lineageBits}
 		j.tasks = append(j.tasks, t)
 		if t.finished {
 			continue
 		}
-		whole := false
-		t.text, whole = s.carry.take(t)
+		whole := s.recall(t, earlier.texts[i])
 		if len(t.text.events) > 0 {
 			known++
 		}
@@ -122,10 +133,26 @@
 		s.behind[j.Model] = named - j.MinVersion
 	}
 	s.log.Info("job taken over", "job", j.ID, "step", j.Step, "model", j.Model, "min_version", j.MinVersion,
-		"named", s.registry.Versions()[j.Model], "items", len(j.Items), "listed", len(done), "carried", known,
+		"named", s.registry.Versions()[j.Model], "items", len(j.Items), "listed", len(earlier.done), "carried", known,
 		"age_ms", now.Sub(j.Submitted).Milliseconds())
 }
 
+// lineageBits leaves room for the texts of one item within an epoch.
+const lineageBits = 12
+
+// recall starts a task with a text that is known already, from a former driver
+// or a former job, and tells whether it is whole.
+func (s *session) recall(t *task, kept batch.Progress) bool {
+	slices.Sort(kept.Versions)
+	former := text{events: kept.Events, versions: slices.Compact(kept.Versions)}
+	carried, whole := s.carry.take(t)
+	t.text = carried
+	if !whole && len(former.events) > len(carried.events) && former.allowed(t.job.MinVersion, t.job.single) {
+		t.text = former
+	}
+	return whole
+}
+
 func (s *session) setTimes(j *job) {
 	due, giveUp := defaultDue, defaultGiveUp
 	if config := s.registry.Config(); config != nil {
@@ -181,4 +208,3 @@
 		s.abandon(t)
 	}
 }
-
--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -57,9 +57,16 @@
 
 // active is a running session.
 type active struct {
-	epoch  int64
-	cancel context.CancelFunc
-	ended  chan struct{}
+	epoch   int64
+	session *session
+	cancel  context.CancelFunc
+	ended   chan struct{}
+}
+
+// handOver keeps the texts that are not whole for the next driver and stops.
+func (a *active) handOver(ctx context.Context) {
+	a.session.handOver(ctx)
+	a.stop()
 }
 
 func (a *active) stop() {
@@ -82,7 +89,7 @@
 		case <-d.clock.After(renewal):
 		case <-d.leaving:
 			if current != nil {
-				current.stop()
+				current.handOver(ctx)
 				current = nil
 			}
 			d.release(ctx)
@@ -150,5 +157,5 @@
 		<-followed
 		s.running.Wait()
 	}()
-	return &active{epoch: epoch, cancel: cancel, ended: ended}
+	return &active{epoch: epoch, session: s, cancel: cancel, ended: ended}
 }
--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -19,6 +19,8 @@
 	slowFactor = 1.7
 	// suspectTime is how long an engine gets no new item after it failed.
 	suspectTime = 1200 * time.Millisecond
+	// maxMisses bounds the doublings of suspectTime.
+	maxMisses = 2
 	// fullTime is how long an engine gets no new item after it said it was full.
 	fullTime = 60 * time.Millisecond
 	// affinity is what an engine that has read a group's prompt is worth, in
@@ -38,13 +40,21 @@
 	running int
 	// versions are the newest known weight versions by model.
 	versions map[string]int64
-	// loading is the model whose weights are being loaded, empty for none.
+	// loading is the model whose weights are being loaded, empty for none, and
+	// target the version.
 	loading string
+	target  int64
+	// readyAt is when the weights are expected to be loaded, zero before the
+	// engine has accepted the order. From then on one item at a time finds out.
+	readyAt  time.Time
+	scouting bool
 	// orders is the number of orders that the engine has accepted, unknownOrders
 	// before it was asked.
 	orders       int64
 	suspectUntil time.Time
-	fullUntil    time.Time
+	// misses counts connections that failed in a row.
+	misses    int
+	fullUntil time.Time
 	// pace is the mean time between events, over paces events.
 	pace  time.Duration
 	paces int
@@ -111,6 +121,16 @@
 	}
 }
 
+// unreachable notes that no connection could be made; the engine is avoided for
+// longer each time.
+func (e *engine) unreachable(now time.Time) {
+	if now.Before(e.suspectUntil) {
+		return
+	}
+	e.suspectUntil = now.Add(suspectTime << min(e.misses, maxMisses))
+	e.misses++
+}
+
 // isSlow compares the engine's pace with the median of all.
 func (e *engine) isSlow(median time.Duration) bool {
 	return median > 0 && e.paces >= paceSamples && float64(e.pace) > slowFactor*float64(median)
@@ -147,6 +167,9 @@
 // fits tells whether an engine may get an item now.
 func (e *engine) fits(now time.Time, n need) bool {
 	version := e.versions[n.model]
+	if e.loading == n.model {
+		version = e.target
+	}
 	switch {
 	case !e.listed || e.entry.Draining || e.entry.Service != n.service || !e.entry.LeavesAt.IsZero():
 		return false
@@ -154,7 +177,7 @@
 		return false
 	case version < n.minVersion || n.exact > 0 && version != n.exact:
 		return false
-	case e.loading == n.model:
+	case e.loading == n.model && !e.mayScout(now):
 		return false
 	case now.Before(e.entry.ColdUntil) && now.Before(e.coldFrom):
 		return false
@@ -162,6 +185,25 @@
 	return true
 }
 
+// mayScout tells whether an item may find out if the weights are loaded.
+func (e *engine) mayScout(now time.Time) bool {
+	return !e.scouting && !e.readyAt.IsZero() && !now.Before(e.readyAt)
+}
+
+// isLoading tells whether the engine takes part of the rate at which weights
+// can be loaded.
+func (e *engine) isLoading(now time.Time) bool {
+	return e.loading != "" && (e.readyAt.IsZero() || now.Before(e.readyAt))
+}
+
+// beginLoad notes an order for weights.
+func (e *engine) beginLoad(model string, version int64) {
+	e.loading, e.target, e.readyAt, e.scouting = model, version, time.Time{}, false
+}
+
+// endLoad notes that an order is done or given up.
+func (e *engine) endLoad() { e.beginLoad("", 0) }
+
 // cost is smallest for the engine to take; median is the engines' median pace.
 func (e *engine) cost(n need, median time.Duration) float64 {
 	cost := float64(e.running) / float64(e.entry.Slots)
--- /dev/null
+++ b/src/driver/handover.go
@@ -0,0 +1,62 @@
+package driver
+
+import (
+	"context"
+	"time"
+)
+
+// handOverTime bounds the keeping of texts before the lease is given up.
+const handOverTime = 1200 * time.Millisecond
+
+// handOver ends all runs and keeps their texts for the next driver.
+func (s *session) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	jobs := s.stopRuns()
+	done := make(chan struct{}, len(jobs))
+	for _, j := range jobs {
+		go func() {
+			s.keepAll(ctx, j)
+			done <- struct{}{}
+		}()
+	}
+	for range jobs {
+		<-done
+	}
+	s.log.Info("texts kept for the next driver", "jobs", len(jobs), "in_time", ctx.Err() == nil)
+}
+
+// stopRuns ends all runs, so that texts grow no more, and returns the jobs.
+func (s *session) stopRuns() []*job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for _, t := range s.runningTasks() {
+		if t.run.why == "" {
+			s.stop(t.run, "driver leaves")
+		}
+	}
+	var jobs []*job
+	for _, j := range s.jobs {
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+// keepAll ends a job's commits and keeps all that the table lacks of it.
+func (s *session) keepAll(ctx context.Context, j *job) {
+	ended := make(chan struct{})
+	select {
+	case j.handOver <- ended:
+		<-ended
+	case <-ctx.Done():
+		return
+	}
+	for {
+		results := s.takePending(j)
+		progress := s.takeProgress(j, 1)
+		if len(results)+len(progress) == 0 || !s.appendAll(ctx, j, results, progress) {
+			return
+		}
+	}
+}
--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -1,15 +1,23 @@
 package driver
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 )
 
-// commitPause is the time between tries to list results.
-const commitPause = 80 * time.Millisecond
+const (
+	// commitPause is the time between tries to list results.
+	commitPause = 80 * time.Millisecond
+	// keepEvery is the time after which texts that are not whole are kept.
+	keepEvery = 700 * time.Millisecond
+	// keepEvents is how many new events make it worth to keep a text.
+	keepEvents = 15
+)
 
 // job is a batch job that this driver has taken over.
 type job struct {
@@ -20,34 +28,70 @@
 	tasks   []*task
 	single  bool
 	pending []batch.Result
-	wake    chan struct{}
-	cancel  context.CancelFunc
-	ended   bool
-	listed  int
+	// handOver ends the job's commits; what it receives is closed then.
+	handOver chan chan struct{}
+	wake     chan struct{}
+	cancel   context.CancelFunc
+	ended    bool
+	listed   int
 }
 
 // commit lists the job's results as they come, until ctx ends, all are listed
 // or another process has taken the job over.
 func (s *session) commit(ctx context.Context, j *job) {
+	keepNext := s.clock.After(keepEvery)
+	keepDue := false
 	for {
-		batchOf := s.takePending(j)
-		if len(batchOf) > 0 && !s.appendAll(ctx, j, batchOf) {
+		results := s.takePending(j)
+		var progress []batch.Progress
+		if keepDue {
+			progress = s.takeProgress(j, keepEvents)
+			keepDue = false
+			keepNext = s.clock.After(keepEvery)
+		}
+		if len(results)+len(progress) > 0 && !s.appendAll(ctx, j, results, progress) {
 			return
 		}
 		if s.isComplete(j) {
 			return
 		}
-		if len(batchOf) > 0 {
+		if len(results) > 0 {
 			continue
 		}
 		select {
 		case <-j.wake:
+		case done := <-j.handOver:
+			close(done)
+			return
+		case <-keepNext:
+			keepDue = true
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// takeProgress returns what the table lacks of texts that have been running
+// for a while, the longest first.
+func (s *session) takeProgress(j *job, atLeast int) []batch.Progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var tasks []*task
+	for _, t := range j.tasks {
+		if !t.finished && len(t.text.events)-t.kept >= atLeast {
+			tasks = append(tasks, t)
+		}
+	}
+	slices.SortFunc(tasks, func(a, b *task) int { return cmp.Compare(len(b.text.events), len(a.text.events)) })
+	var progress []batch.Progress
+	for _, t := range tasks[:min(batch.ProgressRows, len(tasks))] {
+		part := t.progress()
+		t.kept = part.From + len(part.Events)
+		progress = append(progress, part)
+	}
+	return progress
+}
+
 func (s *session) takePending(j *job) []batch.Result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -69,17 +113,17 @@
 }
 
 // appendAll repeats one append until its outcome is known.
-func (s *session) appendAll(ctx context.Context, j *job, results []batch.Result) bool {
+func (s *session) appendAll(ctx context.Context, j *job, results []batch.Result, progress []batch.Progress) bool {
 	start := s.clock.Now()
 	for {
-		err := j.claim.Append(ctx, results)
+		err := j.claim.Append(ctx, results, progress)
 		switch sesamepitch.KindOf(err) {
 		case "":
 			s.mu.Lock()
 			j.listed += len(results)
 			listed := j.listed
 			s.mu.Unlock()
-			s.log.Info("results listed", "job", j.ID, "count", len(results), "total", len(j.Items), "listed", listed,
+			s.log.Info("results listed", "job", j.ID, "count", len(results), "kept", len(progress), "total", len(j.Items), "listed", listed,
 				"ms", s.clock.Now().Sub(start).Milliseconds())
 			return true
 		case sesamepitch.KindConflict:
--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -14,7 +14,16 @@
 	// loadPoll is the time between looks at an engine that loads weights.
 	loadPoll = 200 * time.Millisecond
 	// firstLook is the time from an order to the first look.
-	firstLook = 800 * time.Millisecond
+	firstLook = 1000 * time.Millisecond
+	// firstUsual is how long a load is expected to take before any was seen;
+	// the others bound and adapt that.
+	firstUsual  = time.Second
+	leastUsual  = 100 * time.Millisecond
+	mostUsual   = 5 * time.Second
+	usualShrink = 0.98
+	usualGrow   = 1.05
+	// scoutPause is the time after which another item may try.
+	scoutPause = 50 * time.Millisecond
 	// loadLimit is how long an engine may load before it is looked at as free.
 	loadLimit = 8 * time.Second
 	// orderAgain is the time after which an order without an answer is repeated.
@@ -42,10 +51,29 @@
 	mu sync.Mutex
 	// loads counts the orders by model and version.
 	loads map[load]int
+	// usual is how long a load is expected to take.
+	usual time.Duration
+}
+
+// scouted takes into account whether weights were loaded when an item tried.
+func (l *loader) scouted(loaded bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if loaded {
+		l.usual = max(time.Duration(usualShrink*float64(l.usual)), leastUsual)
+		return
+	}
+	l.usual = min(time.Duration(usualGrow*float64(l.usual)), mostUsual)
+}
+
+func (l *loader) usualTime() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.usual
 }
 
 func newLoader(clock sesamepitch.Clock, log logr.Logger, control sesamepitch.EngineControl, lease Authority, holder string, epoch int64) *loader {
-	return &loader{clock: clock, log: log, control: control, lease: lease, holder: holder, epoch: epoch, loads: map[load]int{}}
+	return &loader{clock: clock, log: log, control: control, lease: lease, holder: holder, epoch: epoch, loads: map[load]int{}, usual: firstUsual}
 }
 
 // counts returns how many loads of each model's named version were ordered.
@@ -70,7 +98,7 @@
 	if !l.mayOrder() {
 		return
 	}
-	e.loading = order.model
+	e.beginLoad(order.model, order.version)
 	l.mu.Lock()
 	l.loads[load{model: order.model, version: order.version}]++
 	l.mu.Unlock()
@@ -80,18 +108,41 @@
 	go func() {
 		defer s.running.Done()
 		loaded := l.carryOut(ctx, s, e, to, order, after)
-		s.mu.Lock()
-		e.loading = ""
-		if loaded {
-			e.versions[order.model] = max(e.versions[order.model], order.version)
-		} else {
-			e.suspectUntil = l.clock.Now().Add(suspectTime)
-		}
-		s.mu.Unlock()
-		s.wakeUp()
+		s.endLoad(e, order, loaded)
 	}()
 }
 
+// endLoad takes the outcome of an order.
+func (s *session) endLoad(e *engine, order load, loaded bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.wakeUp()
+	e.endLoad()
+	if loaded {
+		e.learn(map[string]int64{order.model: order.version})
+		return
+	}
+	e.suspectUntil = s.clock.Now().Add(suspectTime)
+}
+
+// isLoaded tells whether an item has found the weights loaded.
+func (s *session) isLoaded(e *engine, order load) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return e.versions[order.model] >= order.version
+}
+
+// accepted notes when the weights are expected to be loaded, and the number of
+// orders that the engine has accepted.
+func (s *session) accepted(e *engine, at time.Time, orders int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.orders = max(e.orders, orders)
+	if e.loading != "" {
+		e.readyAt = at
+	}
+}
+
 // carryOut sends an order until it is accepted and waits until it is done.
 func (l *loader) carryOut(ctx context.Context, s *session, e *engine, to sesamepitch.Destination, order load, after int64) bool {
 	started := l.clock.Now()
@@ -112,13 +163,27 @@
 				return false
 			}
 			sentAt = l.clock.Now()
-			accepted = l.send(ctx, to, order, after)
+			holds, err := l.send(ctx, to, order, after)
+			if holds {
+				return true
+			}
+			accepted = err == nil
+			if accepted {
+				s.accepted(e, sentAt.Add(l.usualTime()), after+1)
+			}
+			if sesamepitch.KindOf(err) == sesamepitch.KindConflict {
+				sentAt = time.Time{} // the report tells with which count to send again
+			}
 		}
 		if accepted {
 			l.pause(ctx, max(firstLook-l.clock.Now().Sub(sentAt), loadPoll))
 		} else {
 			l.pause(ctx, loadPoll)
 		}
+		if s.isLoaded(e, order) {
+			l.log.Info("weights loaded", "engine", to.ID, "model", order.model, "version", order.version, "by", "item")
+			return true
+		}
 		report, err := l.control.Report(ctx, to)
 		if err != nil {
 			l.log.Info("engine gives no report", "engine", to.ID, "cause", err.Error())
@@ -126,7 +191,7 @@
 		}
 		s.learnReport(e, report)
 		if report.Versions[order.model] >= order.version {
-			l.log.Info("weights loaded", "engine", to.ID, "model", order.model, "version", order.version,
+			l.log.Info("weights loaded", "engine", to.ID, "model", order.model, "version", order.version, "by", "report",
 				"ms", l.clock.Now().Sub(started).Milliseconds())
 			return true
 		}
@@ -142,14 +207,14 @@
 	return false
 }
 
-// send sends an order once and tells whether the engine carries it out.
-func (l *loader) send(ctx context.Context, to sesamepitch.Destination, order load, after int64) bool {
-	err := l.control.Order(ctx, to, sesamepitch.WeightOrder{
+// send sends an order once.
+func (l *loader) send(ctx context.Context, to sesamepitch.Destination, order load, after int64) (bool, error) {
+	holds, err := l.control.Order(ctx, to, sesamepitch.WeightOrder{
 		Model: order.model, Version: order.version, Holder: l.holder, Fence: l.epoch, After: after,
 	})
 	l.log.Info("weights ordered", "engine", to.ID, "model", order.model, "version", order.version, "fence", l.epoch,
-		"after", after, "kind", string(sesamepitch.KindOf(err)), "cause", causeOf(err))
-	return err == nil
+		"after", after, "kind", string(sesamepitch.KindOf(err)), "holds", holds, "cause", causeOf(err))
+	return holds, err
 }
 
 func (l *loader) pause(ctx context.Context, d time.Duration) {
--- a/src/driver/run.go
+++ b/src/driver/run.go
@@ -29,8 +29,10 @@
 	// lastEvent is the time of the last sign of life.
 	lastEvent time.Time
 	gotEvent  bool
-	events    int
-	cancel    context.CancelFunc
+	// scout runs find out whether the engine's weights are loaded.
+	scout  bool
+	events int
+	cancel context.CancelFunc
 	// why tells why the driver itself ended the run; empty if it did not.
 	why string
 }
@@ -42,6 +44,9 @@
 	r := &run{task: t, engine: e, started: now, lastEvent: now, cancel: cancel}
 	t.run = r
 	e.running++
+	if e.loading == t.job.Model {
+		e.scouting, r.scout = true, true
+	}
 	e.readPrompt(t.item.Group)
 	if now.Before(e.entry.ColdUntil) {
 		e.coldFrom = now.Add(s.coldPause(e))
@@ -99,7 +104,12 @@
 		r.engine.versions[model] = version
 		return &Error{Op: "driver.run", Kind: sesamepitch.KindStale, Err: errStale}
 	}
-	r.engine.versions[model] = max(r.engine.versions[model], version)
+	r.engine.learn(map[string]int64{model: version})
+	if r.scout && version >= r.engine.target && r.engine.loading == model {
+		s.loader.scouted(true)
+		r.engine.endLoad()
+		s.wakeUp()
+	}
 	return nil
 }
 
@@ -115,7 +125,7 @@
 	}
 	versions := r.task.text.versions
 	if r.task.job.single && len(versions) > 0 && versions[0] != event.Version {
-		r.task.text = text{}
+		r.task.restart()
 		return &Error{Op: "driver.run", Kind: sesamepitch.KindStale, Err: errTwo}
 	}
 	now := s.clock.Now()
@@ -124,6 +134,7 @@
 	}
 	r.gotEvent = true
 	r.lastEvent = now
+	r.engine.misses = 0
 	r.events++
 	r.task.text.add(event)
 	r.task.breaks = 0
@@ -137,6 +148,7 @@
 	defer s.wakeUp()
 	t, now := r.task, s.clock.Now()
 	r.engine.running--
+	s.endScout(r, now)
 	if t.run != r {
 		return
 	}
@@ -155,6 +167,17 @@
 	s.failed(r, err, now)
 }
 
+// endScout lets another item try if the weights were not loaded yet.
+func (s *session) endScout(r *run, now time.Time) {
+	e := r.engine
+	if !r.scout || e.loading != r.task.job.Model || !e.scouting {
+		return
+	}
+	e.scouting = false
+	e.readyAt = now.Add(scoutPause)
+	s.loader.scouted(false)
+}
+
 // failed decides what follows from a run that did not finish.
 func (s *session) failed(r *run, err error, now time.Time) {
 	t, e := r.task, r.engine
@@ -163,8 +186,11 @@
 	switch {
 	case r.why != "":
 		t.notBefore = now
-	case kind == sesamepitch.KindUnavailable:
+	case kind == sesamepitch.KindOverloaded && r.scout:
+	case kind == sesamepitch.KindOverloaded:
 		e.fullUntil = now.Add(fullTime)
+	case kind == sesamepitch.KindUnavailable:
+		e.unreachable(now)
 	case kind == sesamepitch.KindStale:
 	case kind == sesamepitch.KindInvalid:
 		s.finish(t, t.dead())
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -40,12 +40,14 @@
 	wake     chan struct{}
 	running  sync.WaitGroup
 
-	mu      sync.Mutex
-	jobs    map[string]*job
-	states  map[string]*engine
-	home    map[string]string
-	behind  map[string]int64
-	carry   *carry
+	mu     sync.Mutex
+	jobs   map[string]*job
+	states map[string]*engine
+	home   map[string]string
+	behind map[string]int64
+	carry  *carry
+	// leaving is set once texts are kept for the next driver.
+	leaving bool
 	// adopted are the jobs that were taken over or ended, over those that ended.
 	adopted map[string]bool
 	over    map[string]bool
@@ -77,6 +79,9 @@
 func (s *session) step(ctx context.Context) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.leaving {
+		return
+	}
 	now := s.clock.Now()
 	s.syncEngines()
 	s.endStalled(now)
--- a/src/driver/task.go
+++ b/src/driver/task.go
@@ -24,7 +24,13 @@
 type task struct {
 	item batch.Item
 	job  *job
-	text text
+	// index is the item's place in its job.
+	index int
+	text  text
+	// lineage grows when the text starts anew; kept is how many of its events
+	// the table has.
+	lineage int64
+	kept    int
 	// failures counts answers that the engine failed after it ran the item,
 	// breaks the runs that broke off before their first event.
 	failures int
@@ -84,6 +90,27 @@
 	return len(t.versions) == 0 || t.versions[0] >= least
 }
 
+// restart drops the text; the next one does not continue it.
+func (t *task) restart() {
+	t.text = text{}
+	t.lineage++
+	t.kept = 0
+}
+
+// progress returns the part of the text that the table does not have.
+func (t *task) progress() batch.Progress {
+	part := batch.Progress{Item: t.index, Lineage: t.lineage, From: t.kept, Versions: slices.Clone(t.text.versions)}
+	bytes := 0
+	for _, event := range t.text.events[t.kept:] {
+		bytes += len(event)
+		if bytes > batch.PartBytes && len(part.Events) > 0 {
+			break
+		}
+		part.Events = append(part.Events, event)
+	}
+	return part
+}
+
 // result is the task's outcome once its text is whole.
 func (t *task) result() batch.Result {
 	return batch.Result{ID: t.item.ID, State: batch.Done, Text: strings.Join(t.text.events, "\n"), Versions: t.text.versions}
--- a/src/driver/weights.go
+++ b/src/driver/weights.go
@@ -117,7 +117,7 @@
 // version the next step will not allow, then engines for models whose items
 // wait, then engines that are merely behind, as far as loads are free.
 func plan(in planInput, home map[string]string) []load {
-	room := loadsAtOnce(len(in.engines)) - loadingNow(in.engines)
+	room := loadsAtOnce(len(in.engines)) - loadingNow(in.engines, in.now)
 	if room <= 0 {
 		return nil
 	}
@@ -131,10 +131,10 @@
 
 func loadsAtOnce(engines int) int { return max(leastLoads, engines/loadsShare) }
 
-func loadingNow(engines map[string]*engine) int {
+func loadingNow(engines map[string]*engine, now time.Time) int {
 	count := 0
 	for _, e := range engines {
-		if e.loading != "" {
+		if e.isLoading(now) {
 			count++
 		}
 	}
@@ -161,11 +161,15 @@
 			wanted = append(wanted, load{id, model, in.named[model]})
 		}
 	}
-	// One of each model in turn, starting with the model that is worst off.
+	// One of each model in turn, starting with the model that is worst off;
+	// models without waiting items come last.
 	turn := map[string]int{}
 	rank := make([]int, len(wanted))
 	for i, l := range wanted {
 		rank[i] = fresh[l.model] + turn[l.model]
+		if in.waiting[l.model] == 0 {
+			rank[i] += len(in.engines)
+		}
 		turn[l.model]++
 	}
 	return sortByRank(wanted, rank)
@@ -218,7 +222,7 @@
 	var wanted []load
 	for _, id := range slices.Sorted(maps.Keys(home)) {
 		model, e := home[id], in.engines[id]
-		if e.versions[model] >= in.named[model] || !in.mayLoad(e) || free[model] <= 0 {
+		if e.versions[model] >= in.named[model] || !in.mayLoad(e) || free[model] <= 0 || in.waiting[model] > 0 {
 			continue
 		}
 		free[model]--
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -12,6 +12,8 @@
 const (
 	// suspectTime is how long an endpoint is avoided after it failed.
 	suspectTime = 1500 * time.Millisecond
+	// fullTime is how long an endpoint is avoided after it said it was full.
+	fullTime = 100 * time.Millisecond
 	// warmFor is how long a kept connection is counted on.
 	warmFor = 10 * time.Second
 	// newConnectionCost, otherCentreCost and reclaimableCost are added to an
@@ -152,6 +154,10 @@
 		if sesamepitch.KindOf(err) != sesamepitch.KindTimeout {
 			known.usedAt = time.Time{}
 		}
+		if sesamepitch.KindOf(err) == sesamepitch.KindOverloaded {
+			known.suspectUntil = now.Add(fullTime)
+			return
+		}
 		known.suspectUntil = now.Add(suspectTime)
 	}
 }
--- a/src/gateway/run.go
+++ b/src/gateway/run.go
@@ -83,6 +83,9 @@
 		return
 	}
 	r.sent++
+	if kind == sesamepitch.KindOverloaded {
+		return
+	}
 	r.mayHaveRun = true
 	if kind == "" && r.admission.Workspace != "" {
 		r.gateway.meter.Count(r.admission.Workspace, began)
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -89,6 +89,8 @@
 	metrics  *metrics
 	memory   *Memory
 	leaving  atomic.Bool
+	// isolated is set while neither the store nor another data centre answers.
+	isolated atomic.Bool
 }
 
 // New builds an instance that logs to out.
@@ -108,7 +110,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	i.registry = registry.New(clock, adapter.Decoder)
 	i.store = relay.New(clock, i.log, adapter.Store, i.peers, func() []string { return i.members.Peers() })
-	i.members = registry.NewMembers(clock, i.log, i.store, settings.Instance, settings.Peers, settings.Seeds)
+	i.members = registry.NewMembers(clock, i.log, i.store, settings.Instance, settings.Centre, settings.Peers, settings.Seeds)
 	if err := relay.Register(i.rpc, adapter.Store); err != nil {
 		return nil, err
 	}
@@ -142,6 +144,7 @@
 		supervisor.NewWorker("usage-flush", i.meter.Run),
 		supervisor.NewWorker("usage-reports", i.reporter.Run),
 		supervisor.NewWorker("connections", i.dropConnections),
+		supervisor.NewWorker("isolation", i.watchIsolation),
 		supervisor.NewWorker("settings", i.watchSettings),
 	)
 }
@@ -206,7 +209,7 @@
 	})
 }
 
-func (i *Instance) ready() bool { return !i.leaving.Load() && i.gateway.Ready() }
+func (i *Instance) ready() bool { return !i.leaving.Load() && !i.isolated.Load() && i.gateway.Ready() }
 
 // listeners are the sockets that the instance serves.
 type listeners struct {
--- a/src/registry/members.go
+++ b/src/registry/members.go
@@ -29,6 +29,7 @@
 // member is the row of an instance.
 type member struct {
 	Address string `json:"address"`
+	Centre  string `json:"centre"`
 	Started int64  `json:"started"`
 	Renewal int64  `json:"renewal"`
 }
@@ -39,6 +40,7 @@
 	log     logr.Logger
 	table   sesamepitch.Table
 	name    string
+	centre  string
 	address string
 	seeds   []string
 	started int64
@@ -50,14 +52,15 @@
 
 type seenMember struct {
 	address string
+	centre  string
 	seen    time.Time
 }
 
-// NewMembers returns the list for an instance with an address for peers; seeds
+// NewMembers returns the list for an instance of a data centre with an address for peers; seeds
 // are asked before any row is known.
-func NewMembers(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, name, address string, seeds []string) *Members {
+func NewMembers(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, name, centre, address string, seeds []string) *Members {
 	return &Members{
-		clock: clock, log: log, table: table, name: name, address: address, seeds: seeds,
+		clock: clock, log: log, table: table, name: name, centre: centre, address: address, seeds: seeds,
 		started: clock.Now().UnixMilli(), known: map[string]seenMember{},
 	}
 }
@@ -73,7 +76,7 @@
 			delete(m.known, name)
 			continue
 		}
-		m.known[name] = seenMember{address: decoded.Address, seen: m.clock.Now()}
+		m.known[name] = seenMember{address: decoded.Address, centre: decoded.Centre, seen: m.clock.Now()}
 	}
 }
 
@@ -98,6 +101,19 @@
 	return peers
 }
 
+// Elsewhere returns the addresses of the instances of other data centres.
+func (m *Members) Elsewhere() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var addresses []string
+	for _, other := range m.known {
+		if other.centre != m.centre {
+			addresses = append(addresses, other.address)
+		}
+	}
+	return addresses
+}
+
 // Run keeps this instance's row until ctx ends.
 func (m *Members) Run(ctx context.Context) error {
 	for {
@@ -118,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, announceTime)
 	defer cancel()
 	m.renewal++
-	row := member{Address: m.address, Started: m.started, Renewal: m.renewal}
+	row := member{Address: m.address, Centre: m.centre, Started: m.started, Renewal: m.renewal}
 	_, err := m.table.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: memberKey(m.name), Value: platform.Encode(row)}}})
 	return err
 }
--- a/src/relay/relay.go
+++ b/src/relay/relay.go
@@ -38,6 +38,7 @@
 	peers  func() []string
 
 	mu       sync.Mutex
+	contact  time.Time
 	failedAt time.Time
 	failing  bool
 	next     int
@@ -123,6 +124,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !failed {
+		s.contact = s.clock.Now()
+	}
 	if failed != s.failing {
 		s.log.Info("direct way to the store", "works", !failed, "cause", causeOf(err))
 	}
@@ -146,6 +150,7 @@
 	for range min(peersTried, len(peers)) {
 		address, index := s.choose(peers)
 		reply, failure := s.ask(ctx, address, call)
+		s.noteContact(failure)
 		switch sesamepitch.KindOf(failure) {
 		case sesamepitch.KindUnavailable, sesamepitch.KindOverloaded:
 			s.skip(index)
@@ -167,6 +172,32 @@
 	return Reply{}, err
 }
 
+// noteContact notes that a peer has answered from the store.
+func (s *Store) noteContact(err error) {
+	switch sesamepitch.KindOf(err) {
+	case sesamepitch.KindUnavailable, sesamepitch.KindOverloaded, sesamepitch.KindUnknown:
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contact = s.clock.Now()
+}
+
+// Contact returns when the store last answered, directly or through a peer.
+func (s *Store) Contact() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contact
+}
+
+// Ping tells whether the peer at an address answers within a time.
+func (s *Store) Ping(ctx context.Context, address string, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	var reply Reply
+	return s.caller.Call(ctx, address, serviceName+".Do", Call{Op: opPing}, &reply) == nil
+}
+
 func (s *Store) choose(peers []string) (string, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/src/relay/service.go
+++ b/src/relay/service.go
@@ -18,6 +18,7 @@
 	opCommit   = "commit"
 	opSnapshot = "snapshot"
 	opChanges  = "changes"
+	opPing     = "ping"
 )
 
 // Call is one call of the store, as sent to a peer. Key is a key, a prefix or
@@ -74,6 +75,7 @@
 		reply.Changes, err = store.Snapshot(ctx, call.Key)
 	case opChanges:
 		reply.Changes, err = store.Changes(ctx, call.Key, call.After, call.Wait)
+	case opPing:
 	default:
 		err = &Error{Op: "relay." + call.Op, Kind: sesamepitch.KindInvalid}
 	}
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -38,8 +38,8 @@
 }
 
 // Forwarder sends requests to endpoints. Errors are of the kinds
-// KindUnavailable (not sent, or the endpoint says that it did not run it),
-// KindUnknown (it may have run) and KindTimeout (ctx ended; it may have run).
+// KindUnavailable (not sent), KindOverloaded (the endpoint says that it did not
+// run it), KindUnknown (it may have run) and KindTimeout (ctx ended; it may have run).
 type Forwarder interface {
 	// Forward sends a request and reads the whole answer.
 	Forward(ctx context.Context, to Destination, request Request) (Answer, error)
@@ -92,7 +92,7 @@
 }
 
 // Engines starts generations. Errors of Generate are of the kinds
-// KindUnavailable (not run), KindFailed (the engine answered with a failure
+// KindUnavailable (not sent), KindOverloaded (not run), KindFailed (the engine answered with a failure
 // after it ran it), KindInvalid (the sample can never be made) and KindUnknown.
 type Engines interface {
 	Generate(ctx context.Context, to Destination, sample Sample) (Generation, error)
@@ -122,9 +122,11 @@
 
 // EngineControl gives engines orders.
 type EngineControl interface {
-	// Order gives an order. KindConflict means that another order is in progress
-	// or has been accepted meanwhile, KindUnknown that it may still be carried out.
-	Order(ctx context.Context, to Destination, order WeightOrder) error
+	// Order gives an order; holds tells that the engine had the weights already
+	// and has counted no order. KindConflict means that another order is in
+	// progress or was accepted before, KindUnknown that this one may still be
+	// carried out.
+	Order(ctx context.Context, to Destination, order WeightOrder) (holds bool, err error)
 	// Report asks an engine for its state.
 	Report(ctx context.Context, to Destination) (EngineReport, error)
 }
