Drivers run on strong instances; feeds are paced; connections are kept by checks

Change: instances publish their cores, the weaker ones wait 1.5 s longer for the lease; the driver's own standstill is no engine's silence; the feed of endpoints is asked in steps that grow with the number of instances; one connection for each service is used by a health check before it would be closed.

--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -18,6 +18,8 @@
 const (
 	// renewal is the time between steps of the lease.
 	renewal = 350 * time.Millisecond
+	// weakReluctance leaves the lease to instances with more cores.
+	weakReluctance = 1500 * time.Millisecond
 	// leaseCall bounds one step of the lease.
 	leaseCall = 1500 * time.Millisecond
 )
@@ -41,14 +43,16 @@
 	control  sesamepitch.EngineControl
 	lease    *lease.Lease
 	instance string
+	strong   func() bool
 	leaving  chan struct{}
 }
 
-// New returns a driver for an instance.
-func New(clock sesamepitch.Clock, log logr.Logger, store sesamepitch.Store, ledger *batch.Ledger, known *registry.Registry, engines sesamepitch.Engines, control sesamepitch.EngineControl, l *lease.Lease, instance string) *Driver {
+// New returns a driver for an instance; strong tells whether no other instance
+// is better suited.
+func New(clock sesamepitch.Clock, log logr.Logger, store sesamepitch.Store, ledger *batch.Ledger, known *registry.Registry, engines sesamepitch.Engines, control sesamepitch.EngineControl, l *lease.Lease, instance string, strong func() bool) *Driver {
 	return &Driver{
 		clock: clock, log: log, store: store, ledger: ledger, registry: known, engines: engines, control: control,
-		lease: l, instance: instance, leaving: make(chan struct{}),
+		lease: l, instance: instance, strong: strong, leaving: make(chan struct{}),
 	}
 }
 
@@ -102,6 +106,10 @@
 }
 
 func (d *Driver) step(ctx context.Context) {
+	d.lease.SetReluctance(0)
+	if !d.strong() {
+		d.lease.SetReluctance(weakReluctance)
+	}
 	ctx, cancel := context.WithTimeout(ctx, leaseCall)
 	defer cancel()
 	if err := d.lease.Step(ctx); err != nil {
--- a/src/driver/run.go
+++ b/src/driver/run.go
@@ -29,6 +29,8 @@
 	// lastEvent is the time of the last sign of life.
 	lastEvent time.Time
 	gotEvent  bool
+	// held is set if this process stood still since the last event.
+	held bool
 	// scout runs find out whether the engine's weights are loaded.
 	scout  bool
 	events int
@@ -129,9 +131,10 @@
 		return &Error{Op: "driver.run", Kind: sesamepitch.KindStale, Err: errTwo}
 	}
 	now := s.clock.Now()
-	if r.gotEvent {
+	if r.gotEvent && !r.held {
 		r.engine.sawEvent(now.Sub(r.lastEvent))
 	}
+	r.held = false
 	r.gotEvent = true
 	r.lastEvent = now
 	r.engine.misses = 0
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -15,6 +15,8 @@
 const (
 	// tick is the time between looks at what stands still or has become due.
 	tick = 50 * time.Millisecond
+	// ownDelay is how late a step is when this process was held up.
+	ownDelay = 150 * time.Millisecond
 	// adoptPause is the time between tries to take a job over.
 	adoptPause = 100 * time.Millisecond
 	// movePause is the time between two moves of a text.
@@ -40,12 +42,14 @@
 	wake     chan struct{}
 	running  sync.WaitGroup
 
-	mu     sync.Mutex
-	jobs   map[string]*job
-	states map[string]*engine
-	home   map[string]string
-	behind map[string]int64
-	carry  *carry
+	mu sync.Mutex
+	// steppedAt is the time of the last step.
+	steppedAt time.Time
+	jobs      map[string]*job
+	states    map[string]*engine
+	home      map[string]string
+	behind    map[string]int64
+	carry     *carry
 	// leaving is set once texts are kept for the next driver.
 	leaving bool
 	// adopted are the jobs that were taken over or ended, over those that ended.
@@ -83,6 +87,7 @@
 		return
 	}
 	now := s.clock.Now()
+	s.forgiveOwnDelay(now)
 	s.syncEngines()
 	s.endStalled(now)
 	s.migrate(now)
@@ -92,6 +97,22 @@
 	s.carry.forget(now)
 }
 
+// forgiveOwnDelay keeps the time in which this process itself stood still from
+// counting as an engine's silence.
+func (s *session) forgiveOwnDelay(now time.Time) {
+	delay := now.Sub(s.steppedAt) - tick
+	first := s.steppedAt.IsZero()
+	s.steppedAt = now
+	if first || delay < ownDelay {
+		return
+	}
+	s.log.Info("driver was held up", "ms", delay.Milliseconds())
+	for _, t := range s.runningTasks() {
+		t.run.lastEvent = t.run.lastEvent.Add(delay)
+		t.run.held = true
+	}
+}
+
 // syncEngines takes over the list of endpoints of services that hold models.
 func (s *session) syncEngines() {
 	config := s.registry.Config()
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -14,8 +14,6 @@
 	suspectTime = 1500 * time.Millisecond
 	// fullTime is how long an endpoint is avoided after it said it was full.
 	fullTime = 100 * time.Millisecond
-	// warmFor is how long a kept connection is counted on.
-	warmFor = 10 * time.Second
 	// newConnectionCost, otherCentreCost and reclaimableCost are added to an
 	// endpoint's load, in units of a full endpoint.
 	newConnectionCost = 0.6
@@ -25,8 +23,10 @@
 
 // load is what this instance knows of an endpoint by its own requests.
 type load struct {
-	running      int
+	running int
+	// usedAt is when a connection was last used, servedAt when for a request.
 	usedAt       time.Time
+	servedAt     time.Time
 	suspectUntil time.Time
 	// coldFrom is when the next request to a cold endpoint may go.
 	coldFrom time.Time
@@ -102,7 +102,7 @@
 			continue
 		}
 		candidates = append(candidates, candidate{
-			endpoint: endpoint, running: known.running, warm: now.Sub(known.usedAt) < warmFor,
+			endpoint: endpoint, running: known.running, warm: now.Sub(known.usedAt) < g.forward.KeptFor(destination(endpoint)),
 			suspect: now.Before(known.suspectUntil), cold: cold, near: endpoint.Centre == g.centre,
 		})
 	}
@@ -147,7 +147,7 @@
 		known.running--
 		now := g.clock.Now()
 		if err == nil {
-			known.usedAt = now
+			known.usedAt, known.servedAt = now, now
 			known.suspectUntil = time.Time{}
 			return
 		}
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -46,6 +46,8 @@
 	memoryShare = 0.7
 	bodyShare   = 0.25
 	forgetEvery = 5 * time.Second
+	followLeast = 60 * time.Millisecond
+	followPer   = 2 * time.Millisecond
 )
 
 // Adapter is what speaks to the users' platform.
@@ -110,7 +112,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	i.registry = registry.New(clock, adapter.Decoder)
 	i.store = relay.New(clock, i.log, adapter.Store, i.peers, func() []string { return i.members.Peers() })
-	i.members = registry.NewMembers(clock, i.log, i.store, settings.Instance, settings.Centre, settings.Peers, settings.Seeds)
+	i.members = registry.NewMembers(clock, i.log, i.store, settings.Instance, settings.Centre, settings.Peers, settings.Cores, settings.Seeds)
 	if err := relay.Register(i.rpc, adapter.Store); err != nil {
 		return nil, err
 	}
@@ -124,7 +126,7 @@
 	ledger := batch.NewLedger(i.clock, i.store)
 	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers)
 	guard := lease.Guard(i.lease, s.Source)
-	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.lease, s.Instance)
+	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.lease, s.Instance, i.members.IsStrong)
 	writer := s.Instance + "@" + i.clock.Now().Format("150405.000")
 	i.meter = billing.NewMeter(i.clock, i.log, i.store, s.Bounds.ReportWindow, writer)
 	i.reporter = billing.NewReporter(i.clock, i.log, i.store, i.adapter.Duties(guard), i.lease, s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate)
@@ -137,13 +139,14 @@
 	return supervisor.New(i.clock, i.log,
 		supervisor.NewWorker("peer-listener", func(ctx context.Context) error { return i.peers.Serve(ctx, listeners.peers, i.rpc) }),
 		supervisor.NewWorker("operators-follower", i.follow(i.adapter.OperatorTable, i.applyOperators)),
-		supervisor.NewWorker("endpoints-follower", i.follow(i.adapter.EndpointTable, i.applyEndpoints)),
+		supervisor.NewWorker("endpoints-follower", i.followEndpoints),
 		supervisor.NewWorker("members-follower", i.follow(registry.MemberTable, i.members.Apply)),
 		supervisor.NewWorker("members", i.members.Run),
 		supervisor.NewWorker("driver", i.driver.Run),
 		supervisor.NewWorker("usage-flush", i.meter.Run),
 		supervisor.NewWorker("usage-reports", i.reporter.Run),
 		supervisor.NewWorker("connections", i.dropConnections),
+		supervisor.NewWorker("kept-connections", i.gateway.KeepConnections),
 		supervisor.NewWorker("isolation", i.watchIsolation),
 		supervisor.NewWorker("settings", i.watchSettings),
 	)
@@ -155,6 +158,15 @@
 	}
 }
 
+// followEndpoints follows a table that changes all the time, in steps that
+// grow with the number of instances: together they make some 500 calls a
+// second at most.
+func (i *Instance) followEndpoints(ctx context.Context) error {
+	follower := registry.NewFollower(i.clock, i.log, i.store, i.adapter.EndpointTable, i.applyEndpoints)
+	follower.Pace(func() time.Duration { return followLeast + time.Duration(i.members.Count())*followPer })
+	return follower.Run(ctx)
+}
+
 func (i *Instance) applyOperators(update registry.Update) {
 	before := i.configVersion()
 	for _, fault := range i.registry.ApplyOperators(update.Rows, update.Whole) {
--- a/src/lease/lease.go
+++ b/src/lease/lease.go
@@ -52,6 +52,8 @@
 	// unsettled is when the oldest commit was sent that may still take effect or
 	// may have; zero if there is none.
 	unsettled time.Time
+	// reluctance is how much longer this process waits than others.
+	reluctance time.Duration
 	// blind is set once the row could not be read.
 	blind bool
 }
@@ -82,6 +84,14 @@
 	l.note = note
 }
 
+// SetReluctance sets how much longer than others this process waits before it
+// takes the lease, also one that was released.
+func (l *Lease) SetReluctance(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reluctance = d
+}
+
 // Previous returns the record of the holder before this process took the lease.
 func (l *Lease) Previous() Record {
 	l.mu.Lock()
@@ -241,10 +251,14 @@
 func (l *Lease) lapsed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.record.Holder == "" || l.record.Holder == l.holder {
+	if l.record.Holder == l.holder {
 		return true
 	}
-	return l.clock.Now().Sub(l.seenAt) >= l.settings.TTL+l.settings.Margin
+	unchanged := l.clock.Now().Sub(l.seenAt)
+	if l.record.Holder == "" {
+		return unchanged >= l.reluctance
+	}
+	return unchanged >= l.settings.TTL+l.settings.Margin+l.reluctance
 }
 
 func (l *Lease) take(ctx context.Context) error {
--- a/src/registry/config.go
+++ b/src/registry/config.go
@@ -67,6 +67,8 @@
 // Service is a group of endpoints that run the same program.
 type Service struct {
 	Name string
+	// HealthPath is asked for an endpoint's health; none if empty.
+	HealthPath string
 	// ColdRate is how many requests a second a cold endpoint bears.
 	ColdRate float64
 	// Models are those that the service's engines hold; none for other services.
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -27,6 +27,7 @@
 	feed    sesamepitch.Feed
 	table   string
 	apply   func(update Update)
+	pace    func() time.Duration
 	lastOK  time.Time
 	lostLog bool
 }
@@ -44,6 +45,10 @@
 	return &Follower{clock: clock, log: log, feed: feed, table: table, apply: apply}
 }
 
+// Pace sets the least time between two questions for a table that changes all
+// the time.
+func (f *Follower) Pace(pace func() time.Duration) { f.pace = pace }
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	back := time.Time{}
@@ -86,6 +91,9 @@
 		}
 		f.apply(Update{Rows: changes.Rows, StoreBack: back})
 		revision = changes.Revision
+		if f.pace != nil {
+			f.wait(ctx, f.pace())
+		}
 	}
 	return revision
 }
@@ -113,8 +121,12 @@
 }
 
 func (f *Follower) pause(ctx context.Context) {
+	f.wait(ctx, feedRetry/2+rand.N(feedRetry/2))
+}
+
+func (f *Follower) wait(ctx context.Context, d time.Duration) {
 	select {
-	case <-f.clock.After(feedRetry/2 + rand.N(feedRetry/2)):
+	case <-f.clock.After(d):
 	case <-ctx.Done():
 	}
 }
--- a/src/registry/members.go
+++ b/src/registry/members.go
@@ -30,8 +30,10 @@
 type member struct {
 	Address string `json:"address"`
 	Centre  string `json:"centre"`
-	Started int64  `json:"started"`
-	Renewal int64  `json:"renewal"`
+	// Cores is the share of processor cores that the instance has.
+	Cores   float64 `json:"cores"`
+	Started int64   `json:"started"`
+	Renewal int64   `json:"renewal"`
 }
 
 // Members lists the instances by their rows.
@@ -42,6 +44,7 @@
 	name    string
 	centre  string
 	address string
+	cores   float64
 	seeds   []string
 	started int64
 
@@ -53,14 +56,15 @@
 type seenMember struct {
 	address string
 	centre  string
+	cores   float64
 	seen    time.Time
 }
 
 // NewMembers returns the list for an instance of a data centre with an address for peers; seeds
 // are asked before any row is known.
-func NewMembers(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, name, centre, address string, seeds []string) *Members {
+func NewMembers(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, name, centre, address string, cores float64, seeds []string) *Members {
 	return &Members{
-		clock: clock, log: log, table: table, name: name, centre: centre, address: address, seeds: seeds,
+		clock: clock, log: log, table: table, name: name, centre: centre, address: address, cores: cores, seeds: seeds,
 		started: clock.Now().UnixMilli(), known: map[string]seenMember{},
 	}
 }
@@ -76,7 +80,7 @@
 			delete(m.known, name)
 			continue
 		}
-		m.known[name] = seenMember{address: decoded.Address, centre: decoded.Centre, seen: m.clock.Now()}
+		m.known[name] = seenMember{address: decoded.Address, centre: decoded.Centre, cores: decoded.Cores, seen: m.clock.Now()}
 	}
 }
 
@@ -101,6 +105,31 @@
 	return peers
 }
 
+// Count returns the number of instances that are known, at least one.
+func (m *Members) Count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(len(m.known), 1)
+}
+
+// capacityShare is the part of the largest instance's cores that makes an
+// instance as good as that one.
+const capacityShare = 0.9
+
+// IsStrong tells whether no live instance has notably more cores than this one.
+// As long as no other is known, the answer is no.
+func (m *Members) IsStrong() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	for _, other := range m.known {
+		if now.Sub(other.seen) < memberTime && m.cores < capacityShare*other.cores {
+			return false
+		}
+	}
+	return len(m.known) > 1
+}
+
 // Elsewhere returns the addresses of the instances of other data centres.
 func (m *Members) Elsewhere() []string {
 	m.mu.Lock()
@@ -134,7 +163,7 @@
 	ctx, cancel := context.WithTimeout(ctx, announceTime)
 	defer cancel()
 	m.renewal++
-	row := member{Address: m.address, Centre: m.centre, Started: m.started, Renewal: m.renewal}
+	row := member{Address: m.address, Centre: m.centre, Cores: m.cores, Started: m.started, Renewal: m.renewal}
 	_, err := m.table.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: memberKey(m.name), Value: platform.Encode(row)}}})
 	return err
 }
--- a/src/site/settings.go
+++ b/src/site/settings.go
@@ -29,6 +29,8 @@
 	// service that takes usage reports and endpoint orders.
 	Store  string
 	Duties string
+	// Cores is the share of processor cores that this process has.
+	Cores float64
 	// MemoryBytes is the limit of this process's memory.
 	MemoryBytes int64
 	// RowBytes is the largest value of a row of the store.
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -41,12 +41,22 @@
 // KindUnavailable (not sent), KindOverloaded (the endpoint says that it did not
 // run it), KindUnknown (it may have run) and KindTimeout (ctx ended; it may have run).
 type Forwarder interface {
+	Connections
 	// Forward sends a request and reads the whole answer.
 	Forward(ctx context.Context, to Destination, request Request) (Answer, error)
 	// Stream sends a request and hands on the answer's parts as they come.
 	Stream(ctx context.Context, to Destination, request Request, sink StreamSink) error
 }
 
+// Connections keeps connections to endpoints.
+type Connections interface {
+	// KeptFor is how long an idle connection to an endpoint is kept.
+	KeptFor(to Destination) time.Duration
+	// Check asks an endpoint whether it is well, on a kept connection if there
+	// is one.
+	Check(ctx context.Context, to Destination, host, path string) error
+}
+
 // StreamSink takes a streamed answer.
 type StreamSink interface {
 	// Start takes status and header, once, before the first part.
