Weights: each model keeps engines that outlast the next version; tests of driver and ledger

Cause: TestPlanKeepsPace, which replays a version of three models each 4 s, found a model with one engine left that its next step allows: engines that were merely behind were loaded in the order of their names, so one model got all.

--- /dev/null
+++ b/src/batch/batch_test.go
@@ -0,0 +1,342 @@
+package batch_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/batch"
+	"sesamepitch/src/standin"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func jobOf(id, workspace string, items, bodyBytes int) batch.Job {
+	job := batch.Job{Head: batch.Head{ID: id, Workspace: workspace, Model: "coach", MinVersion: 3}}
+	for i := range items {
+		job.Items = append(job.Items, batch.Item{
+			ID: fmt.Sprintf("item-%d", i), Path: "/p/1", Group: fmt.Sprint(i / 4),
+			Body: []byte(strings.Repeat("x", bodyBytes)),
+		})
+	}
+	return job
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// failOnce makes the first commit of a key's table fail in one way.
+func failOnce(store *standin.Memory, table string, outcome standin.Outcome) {
+	failed := false
+	store.SetFault(func(op, key string) standin.Outcome {
+		if op == "commit" && strings.HasPrefix(key, table) && !failed {
+			failed = true
+			return outcome
+		}
+		return standin.Served
+	})
+}
+
+// TestAccept stores a job under each way in which its write can fail: what is
+// said of it must be true, and it must be stored once.
+func TestAccept(t *testing.T) {
+	cases := []struct {
+		name    string
+		outcome standin.Outcome
+		kind    sesamepitch.Kind
+		stored  bool
+	}{
+		{"served", standin.Served, "", true},
+		{"refused", standin.Refused, sesamepitch.KindUnavailable, false},
+		{"lost before", standin.LostBefore, "", true},
+		{"lost after", standin.LostAfter, "", true},
+		{"carried out late", standin.Late, "", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			store := standin.NewMemory()
+			failOnce(store, "open/", c.outcome)
+			ledger := batch.NewLedger(sesamepitch.SystemClock{}, store)
+			err := ledger.Accept(within(t, time.Second), jobOf("j", "guild", 8, 600))
+			assert.Equal(t, sesamepitch.KindOf(err), c.kind)
+			store.Settle()
+			head, err := batch.NewLedger(sesamepitch.SystemClock{}, store).Head(context.Background(), "j")
+			assert.Equal(t, err == nil, c.stored)
+			if !c.stored {
+				assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindNotFound)
+				return
+			}
+			job, err := ledger.Job(context.Background(), head)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, job.Items, jobOf("j", "guild", 8, 600).Items)
+		})
+	}
+}
+
+// TestAcceptUnsettled never hears of its write: it must not promise that the
+// job is not accepted, since the write may still be carried out.
+func TestAcceptUnsettled(t *testing.T) {
+	store := standin.NewMemory()
+	first := true
+	store.SetFault(func(op, _ string) standin.Outcome {
+		if op == "commit" && first {
+			first = false
+			return standin.Late
+		}
+		return standin.Refused
+	})
+	err := batch.NewLedger(sesamepitch.SystemClock{}, store).Accept(within(t, 300*time.Millisecond), jobOf("j", "guild", 4, 10))
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindUnknown, "%v", err)
+}
+
+func TestAcceptAgain(t *testing.T) {
+	store := standin.NewMemory()
+	ledger := batch.NewLedger(sesamepitch.SystemClock{}, store)
+	assert.NilError(t, ledger.Accept(context.Background(), jobOf("j", "guild", 4, 10)))
+	commits := store.Commits()
+	assert.NilError(t, batch.NewLedger(sesamepitch.SystemClock{}, store).Accept(context.Background(), jobOf("j", "guild", 4, 10)))
+	assert.Equal(t, store.Commits(), commits)
+	err := ledger.Accept(context.Background(), jobOf("j", "other", 4, 10))
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindDenied)
+}
+
+// TestLargeJob has more items than fit into one transaction.
+func TestLargeJob(t *testing.T) {
+	store := standin.NewMemory()
+	ledger := batch.NewLedger(sesamepitch.SystemClock{}, store)
+	want := jobOf("j", "guild", 4096, 500)
+	assert.NilError(t, ledger.Accept(context.Background(), want))
+	head, err := ledger.Head(context.Background(), "j")
+	assert.NilError(t, err)
+	job, err := ledger.Job(context.Background(), head)
+	assert.NilError(t, err)
+	assert.Equal(t, len(job.Items), 4096)
+	assert.DeepEqual(t, job.Items[4095], want.Items[4095])
+}
+
+func TestEnd(t *testing.T) {
+	store := standin.NewMemory()
+	ledger := batch.NewLedger(sesamepitch.SystemClock{}, store)
+	assert.Equal(t, sesamepitch.KindOf(ledger.End(within(t, time.Second), "j")), sesamepitch.KindNotFound)
+	assert.NilError(t, ledger.Accept(context.Background(), jobOf("j", "guild", 4, 10)))
+	failOnce(store, "open/", standin.LostAfter)
+	assert.NilError(t, ledger.End(within(t, time.Second), "j"))
+	assert.NilError(t, ledger.End(within(t, time.Second), "j"))
+	row, err := store.Get(context.Background(), "open/j/j")
+	assert.NilError(t, err)
+	head, err := batch.DecodeHead(row)
+	assert.NilError(t, err)
+	assert.Assert(t, head.Ended)
+}
+
+func TestReadPages(t *testing.T) {
+	store := standin.NewMemory()
+	ledger := batch.NewLedger(sesamepitch.SystemClock{}, store)
+	assert.NilError(t, ledger.Accept(context.Background(), jobOf("j", "guild", 30, 10)))
+	claim, err := ledger.Claim(context.Background(), "j", "a", 1)
+	assert.NilError(t, err)
+	var results []batch.Result
+	for i := range 30 {
+		results = append(results, batch.Result{ID: fmt.Sprintf("item-%d", i), State: batch.Done, Text: strings.Repeat("<>&", 30_000), Versions: []int64{3}})
+	}
+	for rest := results; len(rest) > 0; {
+		count := batch.Fitting(rest)
+		assert.Assert(t, count > 0)
+		assert.NilError(t, claim.Append(context.Background(), rest[:count], nil))
+		rest = rest[count:]
+	}
+	var read []batch.Result
+	pages := 0
+	for len(read) < 30 {
+		page, err := ledger.Read(context.Background(), "j", len(read))
+		assert.NilError(t, err)
+		assert.Equal(t, page.Total, 30)
+		assert.Assert(t, len(page.Results) > 0)
+		assert.Equal(t, page.Next, len(read)+len(page.Results))
+		read = append(read, page.Results...)
+		pages++
+	}
+	assert.DeepEqual(t, read, results)
+	assert.Assert(t, pages > 1, "more than one page")
+	page, err := ledger.Read(context.Background(), "j", 30)
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Results), 0)
+}
+
+// TestPositions draws appends by two drivers, of which the later one has the
+// higher epoch, with every fault of a commit: no listed position ever changes
+// and no item stands twice.
+func TestPositions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		store := standin.NewMemory()
+		ledger := batch.NewLedger(sesamepitch.SystemClock{}, store)
+		if err := ledger.Accept(ctx, jobOf("j", "guild", 60, 10)); err != nil {
+			t.Fatal(err)
+		}
+		drivers := make([]*writer, 2)
+		for i := range drivers {
+			drivers[i] = &writer{ledger: ledger, name: fmt.Sprint(i), epoch: int64(i + 1)}
+		}
+		seen := map[int]batch.Result{}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			outcome := rapid.SampledFrom([]standin.Outcome{standin.Served, standin.Served, standin.Refused, standin.LostBefore, standin.LostAfter, standin.Late}).Draw(t, "fault")
+			failOnce(store, "", outcome)
+			drivers[rapid.IntRange(0, 1).Draw(t, "driver")].step(ctx)
+			if rapid.Bool().Draw(t, "settle") {
+				store.Settle()
+			}
+			store.SetFault(nil)
+			checkListed(t, ledger, seen)
+		}
+	})
+}
+
+func checkListed(t *rapid.T, ledger *batch.Ledger, seen map[int]batch.Result) {
+	results, err := ledger.All(context.Background(), "j")
+	if err != nil {
+		t.Fatal(err)
+	}
+	items := map[string]bool{}
+	for position, result := range results {
+		before, known := seen[position]
+		if known && (before.ID != result.ID || before.Text != result.Text) {
+			t.Fatalf("position %d was %q by %q, is %q by %q", position, before.ID, before.Text, result.ID, result.Text)
+		}
+		if items[result.ID] {
+			t.Fatalf("item %q stands twice", result.ID)
+		}
+		items[result.ID] = true
+		seen[position] = result
+	}
+	if len(results) < len(seen) {
+		t.Fatalf("%d results, %d were listed", len(results), len(seen))
+	}
+}
+
+// writer lists items as a driver does: it repeats an append whose outcome is
+// unknown and stops when it is fenced.
+type writer struct {
+	ledger *batch.Ledger
+	name   string
+	epoch  int64
+	claim  *batch.Claim
+	listed map[string]bool
+	open   []batch.Result
+	fenced bool
+}
+
+func (w *writer) step(ctx context.Context) {
+	if w.fenced {
+		return
+	}
+	if w.claim == nil {
+		w.take(ctx)
+		return
+	}
+	if w.open == nil {
+		w.open = w.next()
+	}
+	switch sesamepitch.KindOf(w.claim.Append(ctx, w.open, nil)) {
+	case "":
+		for _, result := range w.open {
+			w.listed[result.ID] = true
+		}
+		w.open = nil
+	case sesamepitch.KindConflict:
+		w.fenced = true
+	}
+}
+
+func (w *writer) take(ctx context.Context) {
+	claim, err := w.ledger.Claim(ctx, "j", w.name, w.epoch)
+	if sesamepitch.KindOf(err) == sesamepitch.KindConflict {
+		w.fenced = true
+	}
+	if err != nil {
+		return
+	}
+	done, err := w.ledger.All(ctx, "j")
+	if err != nil {
+		return
+	}
+	w.claim, w.listed = claim, map[string]bool{}
+	for _, result := range done {
+		w.listed[result.ID] = true
+	}
+}
+
+func (w *writer) next() []batch.Result {
+	var results []batch.Result
+	for i := range 60 {
+		id := fmt.Sprintf("item-%d", i)
+		if !w.listed[id] && len(results) < 3 {
+			results = append(results, batch.Result{ID: id, State: batch.Done, Text: w.name, Versions: []int64{3}})
+		}
+	}
+	return results
+}
+
+// TestProgress keeps a text in parts and finds the newest lineage again.
+func TestProgress(t *testing.T) {
+	ctx := context.Background()
+	store := standin.NewMemory()
+	ledger := batch.NewLedger(sesamepitch.SystemClock{}, store)
+	assert.NilError(t, ledger.Accept(ctx, jobOf("j", "guild", 3, 10)))
+	claim, err := ledger.Claim(ctx, "j", "a", 1)
+	assert.NilError(t, err)
+	assert.Assert(t, claim.IsFirst())
+	parts := []batch.Progress{
+		{Item: 0, Lineage: 1, From: 0, Events: []string{"a", "b"}, Versions: []int64{3}},
+		{Item: 0, Lineage: 1, From: 2, Events: []string{"c"}, Versions: []int64{4}},
+		{Item: 1, Lineage: 1, From: 0, Events: []string{"old", "old"}, Versions: []int64{3}},
+		{Item: 1, Lineage: 2, From: 0, Events: []string{"x"}, Versions: []int64{5}},
+		{Item: 1, Lineage: 1, From: 2, Events: []string{"old"}, Versions: []int64{3}},
+		{Item: 2, Lineage: 2, From: 4, Events: []string{"without its start"}, Versions: []int64{3}},
+	}
+	assert.NilError(t, claim.Append(ctx, nil, parts))
+	texts, err := ledger.Progress(ctx, "j")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, texts[0].Events, []string{"a", "b", "c"})
+	assert.DeepEqual(t, texts[0].Versions, []int64{3, 4})
+	assert.DeepEqual(t, texts[1].Events, []string{"x"})
+	assert.Equal(t, len(texts[2].Events), 0)
+	_, err = ledger.Claim(ctx, "j", "b", 2)
+	assert.NilError(t, err)
+	err = claim.Append(ctx, nil, []batch.Progress{{Item: 0, Lineage: 1, From: 3, Events: []string{"late"}}})
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindConflict)
+}
+
+func TestFaults(t *testing.T) {
+	good := jobOf("j", "guild", 2, 1)
+	twice := jobOf("j", "guild", 2, 1)
+	twice.Items[1].ID = twice.Items[0].ID
+	negative := jobOf("j", "guild", 1, 1)
+	negative.Items[0].Tokens = -1
+	path := jobOf("j", "guild", 1, 1)
+	path.Items[0].Path = "p"
+	cases := []struct {
+		name   string
+		job    batch.Job
+		faults int
+	}{
+		{"good", good, 0},
+		{"no id", jobOf("", "guild", 1, 1), 1},
+		{"slash in id", jobOf("a/b", "guild", 1, 1), 1},
+		{"no items", jobOf("j", "guild", 0, 0), 1},
+		{"item twice", twice, 1},
+		{"negative tokens", negative, 1},
+		{"path without slash", path, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { assert.Equal(t, len(c.job.Faults()), c.faults, "%v", c.job.Faults()) })
+	}
+}
--- /dev/null
+++ b/src/driver/driver_test.go
@@ -0,0 +1,396 @@
+package driver_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/batch"
+	"sesamepitch/src/driver"
+	"sesamepitch/src/registry"
+	"sesamepitch/src/standin"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+)
+
+// decoder has one route and one service with engines that hold one model.
+type decoder struct{}
+
+func (decoder) Config(sesamepitch.Row) (*registry.Config, error) {
+	return registry.NewConfig(registry.Config{
+		Version: 1,
+		Routes: []registry.Route{{
+			Name: "train", Host: "h", Prefix: "/p/", Kind: registry.Rollout, MaxAttempts: 2,
+			Split: []registry.Share{{Service: "lm", Weight: 1}}, QueueTTL: 20 * time.Second, ResultDeadline: 5 * time.Second,
+		}},
+		Services: map[string]registry.Service{"lm": {Name: "lm", Models: []string{"coach"}}},
+	}), nil
+}
+
+func (decoder) Endpoint(row sesamepitch.Row, _ time.Time) (registry.Endpoint, error) {
+	id := row.Key[strings.LastIndexByte(row.Key, '/')+1:]
+	return registry.Endpoint{ID: id, Address: id, Service: "lm", Centre: "dc", Slots: 4, Versions: map[string]int64{"coach": 1}}, nil
+}
+
+func (decoder) Operation(row sesamepitch.Row) registry.Operation {
+	if strings.HasSuffix(row.Key, "config") {
+		return registry.Operation{Kind: registry.OperationConfig}
+	}
+	return registry.Operation{Kind: registry.OperationVersion, Model: "coach", Version: row.Version}
+}
+
+// engines are engines in memory. Each item has a script of what its runs do;
+// the last entry is repeated.
+type engines struct {
+	mu       sync.Mutex
+	scripts  map[string][]script
+	runs     map[string][]int64
+	at       map[string]int
+	versions map[string]int64
+	loads    int
+	most     int
+}
+
+// script is what one run does: it makes events up to last and ends with err,
+// ErrComplete for a whole text. An error of start comes before any event.
+type script struct {
+	start error
+	last  int64
+	err   error
+	pace  time.Duration
+}
+
+const textEvents = 6
+
+var whole = script{last: textEvents, err: sesamepitch.ErrComplete}
+
+func newEngines() *engines {
+	return &engines{scripts: map[string][]script{}, runs: map[string][]int64{}, at: map[string]int{}, versions: map[string]int64{}}
+}
+
+// failure is an error of a kind.
+type failure struct {
+	kind sesamepitch.Kind
+	err  error
+}
+
+func (f failure) Error() string               { return string(f.kind) }
+func (f failure) Unwrap() error               { return f.err }
+func (f failure) ErrorKind() sesamepitch.Kind { return f.kind }
+
+func (e *engines) Generate(ctx context.Context, to sesamepitch.Destination, sample sesamepitch.Sample) (sesamepitch.Generation, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run := len(e.runs[sample.ID])
+	e.runs[sample.ID] = append(e.runs[sample.ID], sample.After)
+	todo := whole
+	if scripts := e.scripts[sample.ID]; len(scripts) > 0 {
+		todo = scripts[min(run, len(scripts)-1)]
+	}
+	if todo.start != nil {
+		return nil, todo.start
+	}
+	e.at[to.ID]++
+	e.most = max(e.most, e.at[to.ID])
+	return &generation{engines: e, ctx: ctx, to: to.ID, id: sample.ID, script: todo, next: sample.After + 1, version: max(e.versions[to.ID], 1)}, nil
+}
+
+func (e *engines) Order(_ context.Context, to sesamepitch.Destination, order sesamepitch.WeightOrder) (bool, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads++
+	e.versions[to.ID] = order.Version
+	return false, nil
+}
+
+func (e *engines) Report(_ context.Context, to sesamepitch.Destination) (sesamepitch.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return sesamepitch.EngineReport{Versions: map[string]int64{"coach": max(e.versions[to.ID], 1)}}, nil
+}
+
+func (e *engines) runsOf(item string) []int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]int64(nil), e.runs[item]...)
+}
+
+type generation struct {
+	engines *engines
+	ctx     context.Context
+	to, id  string
+	script  script
+	next    int64
+	version int64
+}
+
+func (g *generation) Version() int64 { return g.version }
+
+func (g *generation) Next() (sesamepitch.Event, error) {
+	select {
+	case <-time.After(g.script.pace):
+	case <-g.ctx.Done():
+		return sesamepitch.Event{}, failure{sesamepitch.KindCrashed, g.ctx.Err()}
+	}
+	if g.next > g.script.last {
+		return sesamepitch.Event{}, g.script.err
+	}
+	event := sesamepitch.Event{ID: g.next, Data: fmt.Sprintf("%s-%d", g.id, g.next), Version: g.version}
+	g.next++
+	return event, nil
+}
+
+func (g *generation) Close() {
+	g.engines.mu.Lock()
+	defer g.engines.mu.Unlock()
+	g.engines.at[g.to]--
+}
+
+// rig is a store with a driver's surroundings.
+type rig struct {
+	t       *testing.T
+	store   *standin.Memory
+	ledger  *batch.Ledger
+	engines *engines
+	known   *registry.Registry
+}
+
+func newRig(t *testing.T, engineCount int) *rig {
+	t.Helper()
+	clock := sesamepitch.SystemClock{}
+	r := &rig{t: t, store: standin.NewMemory(), engines: newEngines(), known: registry.New(clock, decoder{})}
+	r.ledger = batch.NewLedger(clock, r.store)
+	r.known.ApplyOperators([]sesamepitch.Row{{Key: "op//config", Version: 1}, {Key: "op//version", Version: 1}}, true)
+	var rows []sesamepitch.Row
+	for i := range engineCount {
+		rows = append(rows, sesamepitch.Row{Key: fmt.Sprintf("servers//e%d", i), Version: 1})
+	}
+	r.known.ApplyEndpoints(rows, true, time.Time{})
+	return r
+}
+
+// drive runs a driver of an instance until the returned function is called;
+// leave hands over first.
+func (r *rig) drive(instance string) (leave, kill func()) {
+	clock := sesamepitch.SystemClock{}
+	held := driver.NewLease(clock, r.store, instance, "")
+	d := driver.New(clock, logr.Discard(), r.store, r.ledger, r.known, r.engines, r.engines, held, instance, func() bool { return true })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	var once sync.Once
+	kill = func() {
+		once.Do(func() {
+			cancel()
+			<-ended
+		})
+	}
+	r.t.Cleanup(kill)
+	return d.Leave, kill
+}
+
+func (r *rig) submit(id string, minVersion int64, items ...string) {
+	r.t.Helper()
+	job := batch.Job{Head: batch.Head{ID: id, Workspace: "w", Route: "train", Host: "h", Model: "coach", MinVersion: minVersion, Submitted: time.Now()}}
+	for _, item := range items {
+		job.Items = append(job.Items, batch.Item{ID: item, Path: "/p/1", Group: "g"})
+	}
+	assert.NilError(r.t, r.ledger.Accept(context.Background(), job))
+}
+
+// results waits until a number of results is listed and returns them by item.
+func (r *rig) results(id string, count int, limit time.Duration) map[string]batch.Result {
+	r.t.Helper()
+	deadline := time.Now().Add(limit)
+	for {
+		all, err := r.ledger.All(context.Background(), id)
+		assert.NilError(r.t, err)
+		if len(all) >= count {
+			byItem := map[string]batch.Result{}
+			for _, result := range all {
+				byItem[result.ID] = result
+			}
+			assert.Equal(r.t, len(byItem), len(all), "an item is listed twice")
+			return byItem
+		}
+		if time.Now().After(deadline) {
+			r.t.Fatalf("%d of %d results after %s", len(all), count, limit)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func textOf(item string) string {
+	var events []string
+	for i := range textEvents {
+		events = append(events, fmt.Sprintf("%s-%d", item, i+1))
+	}
+	return strings.Join(events, "\n")
+}
+
+// TestRuns has for each way in which a run can end what becomes of the item.
+func TestRuns(t *testing.T) {
+	crash := failure{sesamepitch.KindCrashed, nil}
+	cases := []struct {
+		name    string
+		scripts []script
+		state   batch.State
+		// after lists with which event each run went on.
+		after []int64
+	}{
+		{"whole at once", []script{whole}, batch.Done, []int64{0}},
+		{"closed without an answer: EOF is no whole text", []script{{start: failure{sesamepitch.KindUnknown, io.EOF}}, whole}, batch.Done, []int64{0, 0}},
+		{"broken off in the middle", []script{{last: 4, err: crash}, whole}, batch.Done, []int64{0, 4}},
+		{"broken off twice", []script{{last: 2, err: crash}, {last: 5, err: crash}, whole}, batch.Done, []int64{0, 2, 5}},
+		{"full", []script{{start: failure{sesamepitch.KindOverloaded, nil}}, whole}, batch.Done, []int64{0, 0}},
+		{"cannot be made", []script{{start: failure{sesamepitch.KindInvalid, nil}}}, batch.Dead, []int64{0}},
+		{"fails as often as allowed", []script{{start: failure{sesamepitch.KindFailed, nil}}}, batch.Dead, []int64{0, 0}},
+		{"fails once", []script{{start: failure{sesamepitch.KindFailed, nil}}, whole}, batch.Done, []int64{0, 0}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, 3)
+			r.engines.scripts["x"] = c.scripts
+			r.drive("a")
+			r.submit("j", 1, "x", "y")
+			results := r.results("j", 2, 8*time.Second)
+			assert.Equal(t, results["x"].State, c.state)
+			assert.DeepEqual(t, r.engines.runsOf("x"), c.after)
+			assert.Equal(t, results["y"].Text, textOf("y"))
+			if c.state == batch.Done {
+				assert.Equal(t, results["x"].Text, textOf("x"))
+				assert.DeepEqual(t, results["x"].Versions, []int64{1})
+			}
+		})
+	}
+}
+
+// TestSilentEngine ends a run whose engine says nothing more and goes on
+// elsewhere from the last event.
+func TestSilentEngine(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 2)
+	r.engines.scripts["x"] = []script{{last: 100, pace: time.Minute}, whole}
+	r.drive("a")
+	r.submit("j", 1, "x")
+	assert.Equal(t, r.results("j", 1, 8*time.Second)["x"].Text, textOf("x"))
+	assert.Equal(t, len(r.engines.runsOf("x")), 2)
+}
+
+// TestStaleWeights asks for weights that no engine has yet: they are ordered,
+// and no older ones stand in a result.
+func TestStaleWeights(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 3)
+	r.known.ApplyOperators([]sesamepitch.Row{{Key: "op//version", Version: 4}}, false)
+	r.drive("a")
+	r.submit("j", 3, "x", "y")
+	for _, result := range r.results("j", 2, 8*time.Second) {
+		assert.DeepEqual(t, result.Versions, []int64{4})
+	}
+}
+
+// TestHandOver stops a driver in the middle of texts: the next one goes on
+// from where it was.
+func TestHandOver(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 2)
+	slow := script{last: textEvents, err: sesamepitch.ErrComplete, pace: 400 * time.Millisecond}
+	r.engines.scripts["x"] = []script{slow, whole}
+	leave, _ := r.drive("a")
+	r.submit("j", 1, "x")
+	time.Sleep(1500 * time.Millisecond)
+	r.drive("b")
+	leave()
+	assert.Equal(t, r.results("j", 1, 8*time.Second)["x"].Text, textOf("x"))
+	runs := r.engines.runsOf("x")
+	assert.Equal(t, len(runs), 2)
+	assert.Assert(t, runs[1] >= 1, "the second run went on after event %d", runs[1])
+}
+
+// TestKilledDriver is followed by another one once its lease has lapsed; what
+// it had listed stays, and nothing is listed twice.
+func TestKilledDriver(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 2)
+	r.engines.scripts["x"] = []script{{last: 100, pace: time.Minute}, whole}
+	_, kill := r.drive("a")
+	r.submit("j", 1, "x", "y")
+	r.results("j", 1, 8*time.Second)
+	r.drive("b")
+	kill()
+	results := r.results("j", 2, 10*time.Second)
+	assert.Equal(t, results["x"].Text, textOf("x"))
+	assert.Equal(t, results["y"].Text, textOf("y"))
+}
+
+// TestEndedJob gets no more runs, and its texts serve a later job with the
+// same items.
+func TestEndedJob(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1)
+	r.engines.scripts["x"] = []script{{last: 100, pace: 300 * time.Millisecond}, whole}
+	r.drive("a")
+	r.submit("j1", 1, "x")
+	time.Sleep(1200 * time.Millisecond)
+	assert.NilError(t, r.ledger.End(context.Background(), "j1"))
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, len(r.engines.runsOf("x")), 1)
+	r.submit("j2", 1, "x")
+	assert.Equal(t, r.results("j2", 1, 5*time.Second)["x"].Text, textOf("x"))
+	runs := r.engines.runsOf("x")
+	assert.Assert(t, len(runs) == 2 && runs[1] >= 1, "runs %v", runs)
+}
+
+// TestStoreAway loses answers of the store while results are listed: all are
+// listed once.
+func TestStoreAway(t *testing.T) {
+	t.Parallel()
+	for _, outcome := range []standin.Outcome{standin.Refused, standin.LostBefore, standin.LostAfter} {
+		r := newRig(t, 3)
+		r.drive("a")
+		var items []string
+		for i := range 40 {
+			items = append(items, fmt.Sprintf("i%d", i))
+		}
+		calls := 0
+		r.store.SetFault(func(op, key string) standin.Outcome {
+			calls++
+			if op == "commit" && !strings.HasPrefix(key, "open/") && calls%3 == 0 {
+				return outcome
+			}
+			return standin.Served
+		})
+		r.submit("j", 1, items...)
+		results := r.results("j", len(items), 10*time.Second)
+		for _, item := range items {
+			assert.Equal(t, results[item].Text, textOf(item))
+		}
+	}
+}
+
+// TestSlots never runs more items at an engine than it has slots for.
+func TestSlots(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 2)
+	var items []string
+	for i := range 40 {
+		items = append(items, fmt.Sprintf("i%d", i))
+		r.engines.scripts[items[i]] = []script{{last: textEvents, err: sesamepitch.ErrComplete, pace: 5 * time.Millisecond}}
+	}
+	r.drive("a")
+	r.submit("j", 1, items...)
+	r.results("j", 40, 10*time.Second)
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	assert.Assert(t, r.engines.most <= 4, "%d at once", r.engines.most)
+	assert.Assert(t, !errors.Is(sesamepitch.ErrComplete, io.EOF))
+}
--- /dev/null
+++ b/src/driver/engine_test.go
@@ -0,0 +1,317 @@
+package driver
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sesamepitch/src/batch"
+	"sesamepitch/src/registry"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// engineAt returns an engine of service "lm" with 12 slots and a version of
+// each model.
+func engineAt(id, centre string, versions map[string]int64) *engine {
+	return newEngine(registry.Endpoint{ID: id, Service: "lm", Centre: centre, Slots: 12, Versions: versions})
+}
+
+func pool(count int, version int64, models ...string) map[string]*engine {
+	engines := map[string]*engine{}
+	for i := range count {
+		versions := map[string]int64{}
+		for _, model := range models {
+			versions[model] = version
+		}
+		id := fmt.Sprintf("e%02d", i)
+		engines[id] = engineAt(id, fmt.Sprintf("dc-%d", i/3), versions)
+	}
+	return engines
+}
+
+func paced(e *engine, pace time.Duration) {
+	for range paceSamples + 40 {
+		e.sawEvent(pace)
+	}
+}
+
+// TestChoose has for each reason why an engine must not or should not get an
+// item a case in which the other engine has to be taken.
+func TestChoose(t *testing.T) {
+	wants := need{service: "lm", model: "coach", minVersion: 5, group: "g"}
+	cases := []struct {
+		name string
+		// spoil makes engine e00 unfit or worse than e01.
+		spoil func(e *engine)
+	}{
+		{"not listed", func(e *engine) { e.listed = false }},
+		{"draining", func(e *engine) { e.entry.Draining = true }},
+		{"another service", func(e *engine) { e.entry.Service = "desk" }},
+		{"about to leave", func(e *engine) { e.entry.LeavesAt = start.Add(time.Second) }},
+		{"full", func(e *engine) { e.running = 12 }},
+		{"said it was full", func(e *engine) { e.fullUntil = start.Add(time.Millisecond) }},
+		{"suspect", func(e *engine) { e.suspectUntil = start.Add(time.Second) }},
+		{"weights too old", func(e *engine) { e.versions["coach"] = 4 }},
+		{"loads these weights", func(e *engine) { e.beginLoad("coach", 6) }},
+		{"cold and just used", func(e *engine) {
+			e.entry.ColdUntil = start.Add(time.Second)
+			e.coldFrom = start.Add(50 * time.Millisecond)
+		}},
+		{"busier", func(e *engine) { e.running = 3 }},
+		{"slow", func(e *engine) { paced(e, 140*time.Millisecond) }},
+		{"has just failed the item", func(_ *engine) {}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			engines := pool(2, 5, "coach")
+			paced(engines["e00"], 40*time.Millisecond)
+			paced(engines["e01"], 40*time.Millisecond)
+			engines["e00"].paces = 0
+			c.spoil(engines["e00"])
+			n := wants
+			n.avoid = "e00"
+			got := choose(engines, start, n)
+			assert.Equal(t, got.entry.ID, "e01")
+		})
+	}
+	t.Run("a group's prompt is read already", func(t *testing.T) {
+		engines := pool(3, 5, "coach")
+		engines["e02"].readPrompt("g")
+		assert.Equal(t, choose(engines, start, wants).entry.ID, "e02")
+	})
+	t.Run("none fits", func(t *testing.T) {
+		assert.Assert(t, choose(pool(3, 4, "coach"), start, wants) == nil)
+	})
+}
+
+// TestScout lets one item at a time try an engine once its load is due.
+func TestScout(t *testing.T) {
+	engines := pool(1, 4, "coach", "desk")
+	e := engines["e00"]
+	wants := need{service: "lm", model: "coach", minVersion: 5}
+	e.beginLoad("coach", 5)
+	assert.Assert(t, choose(engines, start, wants) == nil, "not accepted yet")
+	e.readyAt = start.Add(time.Second)
+	assert.Assert(t, choose(engines, start, wants) == nil, "not due yet")
+	assert.Assert(t, choose(engines, start, need{service: "lm", model: "desk", minVersion: 4}) == e, "other models go on")
+	assert.Assert(t, choose(engines, start.Add(time.Second), wants) == e)
+	e.scouting = true
+	assert.Assert(t, choose(engines, start.Add(time.Second), wants) == nil, "one at a time")
+	assert.Assert(t, !e.isLoading(start.Add(time.Second)), "another engine may load")
+}
+
+// TestLongestFirst replays the arrival of a step: the items that take longest
+// get the first places, and an older job's go before a newer one's.
+func TestLongestFirst(t *testing.T) {
+	older := &job{due: start.Add(4 * time.Second)}
+	newer := &job{due: start.Add(8 * time.Second)}
+	tasks := []*task{
+		{job: newer, item: batch.Item{ID: "short", ExpectedTokens: 10 * tokensPerEvent}},
+		{job: newer, item: batch.Item{ID: "long", ExpectedTokens: 150 * tokensPerEvent}},
+		{job: newer, item: batch.Item{ID: "resumed", ExpectedTokens: 150 * tokensPerEvent}, text: text{events: make([]string, 145)}},
+		{job: newer, item: batch.Item{ID: "unknown"}},
+		{job: older, item: batch.Item{ID: "older", ExpectedTokens: 70 * tokensPerEvent}},
+	}
+	byUrgency(tasks, start, 40*time.Millisecond)
+	var order []string
+	for _, each := range tasks {
+		order = append(order, each.item.ID)
+	}
+	assert.DeepEqual(t, order, []string{"older", "long", "unknown", "short", "resumed"})
+}
+
+func TestHomes(t *testing.T) {
+	models := []string{"a", "b", "c"}
+	engines := pool(12, 1, models...)
+	home := homes(nil, engines, models)
+	counts := map[string]int{}
+	centres := map[string]map[string]bool{"a": {}, "b": {}, "c": {}}
+	for id, model := range home {
+		counts[model]++
+		centres[model][engines[id].entry.Centre] = true
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 4, "b": 4, "c": 4})
+	assert.Equal(t, len(centres["a"]), 4, "a model's engines stand in different data centres")
+
+	again := homes(home, engines, models)
+	assert.DeepEqual(t, again, home)
+	for i := range 3 {
+		engines[fmt.Sprintf("e%02d", i)].listed = false
+	}
+	fewer := homes(home, engines, models)
+	for id, model := range fewer {
+		assert.Equal(t, model, home[id], "engines that stay keep their model")
+	}
+	assert.Equal(t, len(homes(nil, engines, nil)), 0)
+}
+
+// TestHomesBalanced draws engines that come and go: shares differ by one at
+// most, and each engine in use has a model.
+func TestHomesBalanced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := []string{"a", "b", "c"}[:rapid.IntRange(1, 3).Draw(t, "models")]
+		engines := pool(rapid.IntRange(1, 30).Draw(t, "engines"), 1, models...)
+		var home map[string]string
+		for range 5 {
+			for _, e := range engines {
+				e.listed = rapid.Bool().Draw(t, "listed")
+			}
+			home = homes(home, engines, models)
+			counts := map[string]int{}
+			for _, model := range home {
+				counts[model]++
+			}
+			if most, least := counts[most(models, counts)], counts[fewest(models, counts)]; most-least > 1 {
+				t.Fatalf("shares %v", counts)
+			}
+			if len(home) != len(sortedEngines(engines)) {
+				t.Fatalf("%d engines have a model", len(home))
+			}
+		}
+	})
+}
+
+func planFor(engines map[string]*engine, named map[string]int64) planInput {
+	return planInput{
+		now: start, engines: engines, models: []string{"a", "b", "c"}, named: named,
+		behind: map[string]int64{"a": 1, "b": 1, "c": 1}, waiting: map[string]int{}, loads: map[string]int{},
+	}
+}
+
+func TestPlan(t *testing.T) {
+	models := []string{"a", "b", "c"}
+	named := map[string]int64{"a": 3, "b": 3, "c": 3}
+	t.Run("engines that the next step does not allow come first, of the model whose items wait", func(t *testing.T) {
+		engines := pool(12, 1, models...)
+		in := planFor(engines, named)
+		in.waiting = map[string]int{"b": 20}
+		loads := plan(in, homes(nil, engines, models))
+		assert.Equal(t, len(loads), leastLoads)
+		for _, l := range loads {
+			assert.Equal(t, l.model, "b")
+			assert.Equal(t, l.version, int64(3))
+		}
+	})
+	t.Run("no more than the rate bears", func(t *testing.T) {
+		engines := pool(12, 1, models...)
+		engines["e00"].beginLoad("a", 3)
+		engines["e01"].beginLoad("b", 3)
+		assert.Equal(t, len(plan(planFor(engines, named), homes(nil, engines, models))), 0)
+		engines["e01"].readyAt = start
+		assert.Equal(t, len(plan(planFor(engines, named), homes(nil, engines, models))), 1, "a load that is due frees its place")
+	})
+	t.Run("engines that are merely behind load while that is free", func(t *testing.T) {
+		engines := pool(12, 2, models...)
+		in := planFor(engines, named)
+		assert.Equal(t, len(plan(in, homes(nil, engines, models))), leastLoads)
+		in.loads = map[string]int{"a": 4, "b": 4, "c": 4}
+		assert.Equal(t, len(plan(in, homes(nil, engines, models))), 0)
+	})
+	t.Run("not while their model's items wait", func(t *testing.T) {
+		engines := pool(12, 2, models...)
+		in := planFor(engines, named)
+		in.waiting = map[string]int{"a": 1, "b": 1, "c": 1}
+		assert.Equal(t, len(plan(in, homes(nil, engines, models))), 0)
+	})
+	t.Run("an idle engine of another model helps a crowded one", func(t *testing.T) {
+		engines := pool(12, 3, models...)
+		home := homes(nil, engines, models)
+		for id, e := range engines {
+			if home[id] != "a" {
+				e.versions["a"] = 1
+			}
+		}
+		in := planFor(engines, named)
+		in.waiting = map[string]int{"a": crowded}
+		loads := plan(in, home)
+		assert.Equal(t, len(loads), 1)
+		assert.Equal(t, loads[0].model, "a")
+		assert.Assert(t, home[loads[0].engine] != "a")
+	})
+	t.Run("nothing for engines that are about to leave", func(t *testing.T) {
+		engines := pool(3, 1, models...)
+		for _, e := range engines {
+			e.entry.LeavesAt = start.Add(time.Second)
+		}
+		assert.Equal(t, len(plan(planFor(engines, named), homes(nil, engines, models))), 0)
+	})
+}
+
+// TestPlanKeepsPace replays new versions each four seconds for three models on
+// twelve engines, loads of 0.9 s and two at once: each step finds at least two
+// engines whose weights it allows.
+func TestPlanKeepsPace(t *testing.T) {
+	models := []string{"a", "b", "c"}
+	engines := pool(12, 1, models...)
+	named := map[string]int64{"a": 1, "b": 1, "c": 1}
+	loads := map[string]int{}
+	var home map[string]string
+	for tenth := range 600 {
+		now := start.Add(time.Duration(tenth) * 100 * time.Millisecond)
+		for _, e := range engines {
+			if e.loading != "" && !now.Before(e.readyAt) {
+				e.learn(map[string]int64{e.loading: e.target})
+				e.endLoad()
+			}
+		}
+		if tenth > 0 && tenth%40 == 0 {
+			for _, model := range models {
+				named[model]++
+				loads[model] = 0
+			}
+			for _, model := range models {
+				fresh := 0
+				for _, e := range engines {
+					if e.versions[model] >= named[model]-1 {
+						fresh++
+					}
+				}
+				assert.Assert(t, fresh >= 2, "model %s has %d engines at %s", model, fresh, now.Sub(start))
+			}
+		}
+		in := planFor(engines, named)
+		in.now, in.loads = now, loads
+		home = homes(home, engines, models)
+		for _, l := range plan(in, home) {
+			engines[l.engine].beginLoad(l.model, l.version)
+			engines[l.engine].readyAt = now.Add(900 * time.Millisecond)
+			loads[l.model]++
+		}
+	}
+}
+
+func TestEngineForgetsAtRestart(t *testing.T) {
+	e := engineAt("e", "dc", map[string]int64{"a": 4})
+	e.learn(map[string]int64{"a": 7})
+	e.running = 2
+	e.update(registry.Endpoint{ID: "e", Service: "lm", Slots: 12, Versions: map[string]int64{"a": 5}})
+	assert.Equal(t, e.versions["a"], int64(7), "an older entry takes nothing back")
+	e.update(registry.Endpoint{ID: "e", Service: "lm", Slots: 12, Born: 9, Versions: map[string]int64{"a": 5}})
+	assert.Equal(t, e.versions["a"], int64(5))
+	assert.Equal(t, e.orders, int64(unknownOrders))
+	assert.Equal(t, e.running, 2)
+}
+
+func TestTextAllowed(t *testing.T) {
+	cases := []struct {
+		versions []int64
+		least    int64
+		single   bool
+		allowed  bool
+	}{
+		{nil, 5, true, true},
+		{[]int64{5}, 5, true, true},
+		{[]int64{4}, 5, false, false},
+		{[]int64{4, 6}, 5, false, false},
+		{[]int64{5, 6}, 5, false, true},
+		{[]int64{5, 6}, 5, true, false},
+	}
+	for _, c := range cases {
+		known := text{versions: c.versions}
+		assert.Equal(t, known.allowed(c.least, c.single), c.allowed, "%v from %d", c.versions, c.least)
+	}
+}
--- a/src/driver/weights.go
+++ b/src/driver/weights.go
@@ -161,31 +161,32 @@
 			wanted = append(wanted, load{id, model, in.named[model]})
 		}
 	}
-	// One of each model in turn, starting with the model that is worst off;
-	// models without waiting items come last.
-	turn := map[string]int{}
-	rank := make([]int, len(wanted))
-	for i, l := range wanted {
-		rank[i] = fresh[l.model] + turn[l.model]
-		if in.waiting[l.model] == 0 {
-			rank[i] += len(in.engines)
+	return inTurn(wanted, func(model string) int {
+		if in.waiting[model] == 0 {
+			return fresh[model] + len(in.engines) // after those whose items wait
 		}
-		turn[l.model]++
-	}
-	return sortByRank(wanted, rank)
+		return fresh[model]
+	})
 }
 
-func sortByRank(loads []load, rank []int) []load {
-	order := make([]int, len(loads))
-	for i := range order {
-		order[i] = i
+// inTurn orders loads so that each takes the model that is worst off by then:
+// start is what a model has, and each load adds one.
+func inTurn(loads []load, start func(model string) int) []load {
+	type ranked struct {
+		load load
+		rank int
+	}
+	given := map[string]int{}
+	order := make([]ranked, len(loads))
+	for i, l := range loads {
+		order[i] = ranked{load: l, rank: start(l.model) + given[l.model]}
+		given[l.model]++
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(rank[a], rank[b]) })
-	sorted := make([]load, len(loads))
-	for i, k := range order {
-		sorted[i] = loads[k]
+	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	for i, each := range order {
+		loads[i] = each.load
 	}
-	return sorted
+	return loads
 }
 
 // extra lists idle engines of other models for models whose items wait.
@@ -219,16 +220,21 @@
 	for _, model := range in.models {
 		free[model] = len(home)/max(len(in.models), 1) - in.loads[model]
 	}
+	newest := map[string]int{}
 	var wanted []load
 	for _, id := range slices.Sorted(maps.Keys(home)) {
 		model, e := home[id], in.engines[id]
-		if e.versions[model] >= in.named[model] || !in.mayLoad(e) || free[model] <= 0 || in.waiting[model] > 0 {
+		if e.versions[model] >= in.named[model] {
+			newest[model]++
+			continue
+		}
+		if !in.mayLoad(e) || free[model] <= 0 || in.waiting[model] > 0 {
 			continue
 		}
 		free[model]--
 		wanted = append(wanted, load{id, model, in.named[model]})
 	}
-	return wanted
+	return inTurn(wanted, func(model string) int { return newest[model] })
 }
 
 // distinct keeps the first load of each engine, up to room of them.
