A weak instance leaves the lease to a stronger one, also while it drives

Change: nobody counts as strong until the others had 1.2 s to announce themselves; a driver that knows a stronger instance for 4 s hands its texts and the lease over.

--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -20,6 +20,10 @@
 	renewal = 350 * time.Millisecond
 	// weakReluctance leaves the lease to instances with more cores.
 	weakReluctance = 1500 * time.Millisecond
+	// yieldAfter is how long a stronger instance must be known, and yieldRest how
+	// long it has to take the lease.
+	yieldAfter = 4 * time.Second
+	yieldRest  = 4 * time.Second
 	// leaseCall bounds one step of the lease.
 	leaseCall = 1500 * time.Millisecond
 )
@@ -45,6 +49,10 @@
 	instance string
 	strong   func() bool
 	leaving  chan struct{}
+	// weakSince is since when a better suited instance has been known while this
+	// one drives; until restUntil this one takes no part in the lease.
+	weakSince time.Time
+	restUntil time.Time
 }
 
 // New returns a driver for an instance; strong tells whether no other instance
@@ -87,8 +95,11 @@
 		}
 	}()
 	for {
-		d.step(ctx)
+		if !d.clock.Now().Before(d.restUntil) {
+			d.step(ctx)
+		}
 		current = d.follow(ctx, current)
+		current = d.yield(ctx, current)
 		select {
 		case <-d.clock.After(renewal):
 		case <-d.leaving:
@@ -146,6 +157,28 @@
 	return d.start(ctx, epoch)
 }
 
+// yield hands the lease over once a better suited instance has been known for
+// a while.
+func (d *Driver) yield(ctx context.Context, current *active) *active {
+	now := d.clock.Now()
+	if current == nil || d.strong() {
+		d.weakSince = time.Time{}
+		return current
+	}
+	if d.weakSince.IsZero() {
+		d.weakSince = now
+	}
+	if now.Sub(d.weakSince) < yieldAfter {
+		return current
+	}
+	d.log.Info("driving is left to a stronger instance", "epoch", current.epoch)
+	current.handOver(ctx)
+	d.release(ctx)
+	d.weakSince = time.Time{}
+	d.restUntil = d.clock.Now().Add(yieldRest)
+	return nil
+}
+
 func (d *Driver) start(ctx context.Context, epoch int64) *active {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
--- a/src/registry/members.go
+++ b/src/registry/members.go
@@ -22,6 +22,9 @@
 	// announceRetry is the time between tries that failed.
 	announceRetry = 500 * time.Millisecond
 	announceTime  = 1500 * time.Millisecond
+	// meetTime is how long instances that start together need to announce
+	// themselves.
+	meetTime = 1200 * time.Millisecond
 	// memberTime is how long an instance counts as present after its renewal.
 	memberTime = 16 * time.Second
 )
@@ -48,7 +51,9 @@
 	seeds   []string
 	started int64
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// firstAt is when rows were first seen.
+	firstAt time.Time
 	known   map[string]seenMember
 	renewal int64
 }
@@ -73,6 +78,9 @@
 func (m *Members) Apply(update Update) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.firstAt.IsZero() {
+		m.firstAt = m.clock.Now()
+	}
 	for _, row := range update.Rows {
 		name := row.Key[strings.LastIndexByte(row.Key, '/')+1:]
 		var decoded member
@@ -117,7 +125,8 @@
 const capacityShare = 0.9
 
 // IsStrong tells whether no live instance has notably more cores than this one.
-// As long as no other is known, the answer is no.
+// As long as the others have not had time to announce themselves, the answer
+// is no.
 func (m *Members) IsStrong() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -127,7 +136,7 @@
 			return false
 		}
 	}
-	return len(m.known) > 1
+	return len(m.known) > 1 && now.Sub(m.firstAt) >= meetTime
 }
 
 // Elsewhere returns the addresses of the instances of other data centres.
