--- a/src/batch/ledger.go
+++ b/src/batch/ledger.go
@@ -8,7 +8,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 )
 
 // The tables of jobs; all rows of a job have its ID as their part.
@@ -61,7 +61,7 @@
 // of the kinds KindUnavailable (the job is surely not accepted), KindUnknown
 // and KindDenied (the ID belongs to another workspace).
 func (l *Ledger) Accept(ctx context.Context, job Job) error {
-	chunks := split(platform.Encode(job.Items))
+	chunks := split(rowstore.Encode(job.Items))
 	job.Chunks = len(chunks)
 	job.Total = len(job.Items)
 	if err := l.storeChunks(ctx, &job, chunks); err != nil {
@@ -111,7 +111,7 @@
 func (l *Ledger) storeHead(ctx context.Context, job Job, chunks [][]byte) error {
 	txn := sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: openKey(job.ID)}},
-		Writes: []sesamepitch.Write{{Key: openKey(job.ID), Value: platform.Encode(job.Head)}},
+		Writes: []sesamepitch.Write{{Key: openKey(job.ID), Value: rowstore.Encode(job.Head)}},
 	}
 	for i := lastChunks(chunks); i < len(chunks); i++ {
 		txn.Writes = append(txn.Writes, sesamepitch.Write{Key: specKey(job.ID, i), Value: chunks[i]})
@@ -174,7 +174,7 @@
 
 func (l *Ledger) readHead(ctx context.Context, id string) (Head, int64, error) {
 	var head Head
-	version, err := platform.Read(ctx, l.store, openKey(id), &head)
+	version, err := rowstore.Read(ctx, l.store, openKey(id), &head)
 	if err != nil {
 		return head, 0, &Error{Op: "batch.head", Kind: sesamepitch.KindUnavailable, Err: err}
 	}
@@ -212,7 +212,7 @@
 	head.Ended = true
 	_, err = l.store.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: openKey(id), Version: version}},
-		Writes: []sesamepitch.Write{{Key: openKey(id), Value: platform.Encode(head)}},
+		Writes: []sesamepitch.Write{{Key: openKey(id), Value: rowstore.Encode(head)}},
 	})
 	return err
 }
--- a/src/batch/progress.go
+++ b/src/batch/progress.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 )
 
 const progressTable = "progress"
@@ -40,7 +40,7 @@
 func progressWrites(id string, progress []Progress) []sesamepitch.Write {
 	var writes []sesamepitch.Write
 	for _, p := range progress {
-		writes = append(writes, sesamepitch.Write{Key: progressKey(id, p), Value: platform.Encode(p)})
+		writes = append(writes, sesamepitch.Write{Key: progressKey(id, p), Value: rowstore.Encode(p)})
 	}
 	return writes
 }
--- a/src/batch/results.go
+++ b/src/batch/results.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 )
 
 const (
@@ -47,7 +47,7 @@
 // that a holder with a higher epoch has it.
 func (l *Ledger) Claim(ctx context.Context, id, holder string, epoch int64) (*Claim, error) {
 	var mark Mark
-	version, err := platform.Read(ctx, l.store, markKey(id), &mark)
+	version, err := rowstore.Read(ctx, l.store, markKey(id), &mark)
 	if err != nil {
 		return nil, &Error{Op: "batch.claim", Kind: sesamepitch.KindUnavailable, Err: err}
 	}
@@ -68,7 +68,7 @@
 	next.Renewal++
 	writes := progressWrites(c.id, progress)
 	for i, result := range results {
-		for k, chunk := range split(platform.Encode(result)) {
+		for k, chunk := range split(rowstore.Encode(result)) {
 			writes = append(writes, sesamepitch.Write{Key: resultKey(c.id, c.mark.Count+i, k), Value: chunk})
 		}
 	}
@@ -77,7 +77,7 @@
 
 // commit writes the mark with the given rows if no one else has written it.
 func (c *Claim) commit(ctx context.Context, next Mark, writes []sesamepitch.Write) error {
-	writes = append(writes, sesamepitch.Write{Key: markKey(c.id), Value: platform.Encode(next)})
+	writes = append(writes, sesamepitch.Write{Key: markKey(c.id), Value: rowstore.Encode(next)})
 	revision, err := c.ledger.store.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: markKey(c.id), Version: c.version}},
 		Writes: writes,
@@ -99,7 +99,7 @@
 // same commit whose answer was lost.
 func (c *Claim) readBack(ctx context.Context, next Mark) error {
 	var mark Mark
-	version, err := platform.Read(ctx, c.ledger.store, markKey(c.id), &mark)
+	version, err := rowstore.Read(ctx, c.ledger.store, markKey(c.id), &mark)
 	if err != nil {
 		return &Error{Op: "batch.commit", Kind: sesamepitch.KindUnknown, Err: err}
 	}
@@ -114,7 +114,7 @@
 func Fitting(results []Result) int {
 	rows, bytes := 0, 0
 	for i, result := range results {
-		size := len(platform.Encode(result))
+		size := len(rowstore.Encode(result))
 		rows += 1 + size/chunkBytes
 		bytes += size
 		if i > 0 && (rows > txnRows || bytes > txnBytes) {
--- a/src/billing/meter.go
+++ b/src/billing/meter.go
@@ -11,7 +11,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 
 	"github.com/go-logr/logr"
 )
@@ -89,7 +89,7 @@
 	for window, counts := range m.takeDirty() {
 		_, err := m.table.Commit(ctx, sesamepitch.Txn{
 			Checks: []sesamepitch.Check{{Key: windowKey(window, frozenName)}},
-			Writes: []sesamepitch.Write{{Key: windowKey(window, m.writer), Value: platform.Encode(counts)}},
+			Writes: []sesamepitch.Write{{Key: windowKey(window, m.writer), Value: rowstore.Encode(counts)}},
 		})
 		switch sesamepitch.KindOf(err) {
 		case "":
--- a/src/billing/reporter.go
+++ b/src/billing/reporter.go
@@ -6,7 +6,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 
 	"github.com/go-logr/logr"
 )
@@ -136,7 +136,7 @@
 	}
 	_, err = r.table.Commit(ctx, sesamepitch.Txn{
 		Checks: checks,
-		Writes: []sesamepitch.Write{{Key: windowKey(window, frozenName), Value: platform.Encode(counts)}},
+		Writes: []sesamepitch.Write{{Key: windowKey(window, frozenName), Value: rowstore.Encode(counts)}},
 	})
 	return counts, err
 }
--- a/src/call/journal.go
+++ b/src/call/journal.go
@@ -11,7 +11,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 
 	"github.com/google/uuid"
 )
@@ -116,7 +116,7 @@
 		key: places[0], places: places,
 		record: Record{Nonce: uuid.NewString(), Fingerprint: fingerprint, Phase: Started, At: j.clock.Now()},
 	}
-	txn := sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: intent.key, Value: platform.Encode(intent.record)}}}
+	txn := sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: intent.key, Value: rowstore.Encode(intent.record)}}}
 	for _, key := range places {
 		txn.Checks = append(txn.Checks, sesamepitch.Check{Key: key})
 	}
@@ -137,7 +137,7 @@
 func (j *Journal) readBack(ctx context.Context, intent *Intent) (*Intent, *Record, error) {
 	for _, key := range intent.places {
 		var row Record
-		version, err := platform.Read(ctx, j.table, key, &row)
+		version, err := rowstore.Read(ctx, j.table, key, &row)
 		if err != nil {
 			return nil, nil, &Error{Op: "call.begin", Kind: sesamepitch.KindUnavailable, Err: err}
 		}
@@ -170,7 +170,7 @@
 	done.Phase, done.Status, done.ContentType, done.Body = Done, status, contentType, body
 	_, err := j.table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: intent.key, Version: intent.version}},
-		Writes: []sesamepitch.Write{{Key: intent.key, Value: platform.Encode(done)}},
+		Writes: []sesamepitch.Write{{Key: intent.key, Value: rowstore.Encode(done)}},
 	})
 	return err
 }
--- a/src/call/sweep.go
+++ b/src/call/sweep.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 )
 
 const (
@@ -39,7 +39,7 @@
 // any more, slice by slice, so that no read of the table is large.
 func (j *Journal) Sweep(ctx context.Context, limit int) (int, error) {
 	var at swept
-	version, err := platform.Read(ctx, j.table, sweptKey, &at)
+	version, err := rowstore.Read(ctx, j.table, sweptKey, &at)
 	if err != nil {
 		return 0, err
 	}
@@ -64,7 +64,7 @@
 	}
 	_, err = j.table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: sweptKey, Version: version}},
-		Writes: []sesamepitch.Write{{Key: sweptKey, Value: platform.Encode(at)}},
+		Writes: []sesamepitch.Write{{Key: sweptKey, Value: rowstore.Encode(at)}},
 	})
 	return removed, err
 }
@@ -74,5 +74,5 @@
 	if err != nil {
 		return 0, err
 	}
-	return len(rows), platform.DeleteRows(ctx, j.table, sesamepitch.KeysOf(rows))
+	return len(rows), rowstore.DeleteRows(ctx, j.table, sesamepitch.KeysOf(rows))
 }
--- a/src/centre/sync.go
+++ b/src/centre/sync.go
@@ -12,7 +12,7 @@
 	"sesamepitch/src/document"
 	"sesamepitch/src/lease"
 	"sesamepitch/src/notice"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 	"sesamepitch/src/supervisor"
 )
 
@@ -385,7 +385,7 @@
 	if sameStatus(status, books.status) && now.Sub(books.statusAt) < statusEvery {
 		return
 	}
-	_, err := n.platform.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: StatusPrefix + n.settings.Centre, Value: platform.Encode(status)}}})
+	_, err := n.platform.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: StatusPrefix + n.settings.Centre, Value: rowstore.Encode(status)}}})
 	if err == nil {
 		books.status, books.statusAt = status, now
 	}
--- a/src/daemon/daemon.go
+++ b/src/daemon/daemon.go
@@ -22,10 +22,10 @@
 	"sesamepitch/src/operator"
 	"sesamepitch/src/orders"
 	"sesamepitch/src/peer"
-	"sesamepitch/src/platform"
 	"sesamepitch/src/pool"
 	"sesamepitch/src/retention"
 	"sesamepitch/src/rollout"
+	"sesamepitch/src/rowstore"
 	"sesamepitch/src/step"
 	"sesamepitch/src/supervisor"
 	"sesamepitch/src/usage"
@@ -127,7 +127,7 @@
 	self := centre.Member{ID: s.Instance, Incarnation: uuid.NewString()[:shortID], Address: s.Peers}
 	run := usage.RunName(self.Address, self.Incarnation)
 	times := lease.Settings{TTL: s.LeaseTTL, Margin: s.LeaseMargin}
-	services := platform.New(s.Platform, platform.WithSource(s.Source))
+	services := rowstore.New(s.Platform, rowstore.WithSource(s.Source))
 	holder, notices := document.NewHolder(), notice.NewSet(d.clock)
 	engines := endpoint.New(endpoint.WithStall(s.StreamStall), endpoint.WithSource(s.Source))
 	d.dialer, d.rpc = peer.NewDialer(s.Source), rpc.NewServer()
@@ -141,7 +141,7 @@
 	d.streams = pool.NewClient(d.clock, d.log, d.node, d.dialer, notices, d.owner, d.meter.Books)
 	runner := rollout.New(d.clock, d.log, d.streams, engines, notices, prices{holder: holder}, d.meter)
 	d.reporting = usage.NewLease(d.clock, services, run, self.Address, times)
-	reports := platform.New(s.Platform, platform.WithTransport(lease.Guard(d.reporting, s.Source)))
+	reports := rowstore.New(s.Platform, rowstore.WithTransport(lease.Guard(d.reporting, s.Source)))
 	d.reporter = usage.NewReporter(d.clock, d.log, services, reports, d.reporting, run, s.UsageWindow, s.UsageSettle, d.node.IsLeader)
 	calls := call.NewJournal(d.clock, services)
 	sweeps := func() bool {
@@ -151,7 +151,7 @@
 	d.retention = retention.New(d.clock, d.log, sweeps, step.NewSweeper(d.clock, services), calls,
 		usage.NewSweeper(d.clock, services, s.UsageWindow), d.node.Journal())
 	guarded := lease.Guard(d.node.Lease(), s.Source)
-	ordering := platform.New(s.Platform, platform.WithTransport(guarded))
+	ordering := rowstore.New(s.Platform, rowstore.WithTransport(guarded))
 	d.orders = orders.New(d.clock, d.log, d.node, services, ordering, holder, notices, engines, guarded, run)
 	d.steps = step.NewManager(d.clock, d.log, services, holder, notices, runner, run, s.UsageWindow)
 	d.admission = entry.NewAdmission(d.clock, d.log, holder, notices, d.node)
--- a/src/document/store.go
+++ b/src/document/store.go
@@ -7,7 +7,7 @@
 	"fmt"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 )
 
 const (
@@ -46,7 +46,7 @@
 // Head reads the accepted version.
 func (s *Store) Head(ctx context.Context) (Head, error) {
 	var head Head
-	_, err := platform.Read(ctx, s.table, headKey, &head)
+	_, err := rowstore.Read(ctx, s.table, headKey, &head)
 	return head, err
 }
 
@@ -75,7 +75,7 @@
 	var deltas []Delta
 	for version := from.Version() + 1; version <= head.Version; version++ {
 		var delta Delta
-		stored, err := platform.Read(ctx, s.table, deltaKey(version), &delta)
+		stored, err := rowstore.Read(ctx, s.table, deltaKey(version), &delta)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -144,13 +144,13 @@
 // isRace tells a lost race for the head, which is tried again, from a
 // conflict of content.
 func isRace(err error) bool {
-	var lost *platform.Error
+	var lost *rowstore.Error
 	return errors.As(err, &lost)
 }
 
 func (s *Store) acceptOnce(ctx context.Context, base *Config, mine Document, author string) (*Config, error) {
 	var head Head
-	headVersion, err := platform.Read(ctx, s.table, headKey, &head)
+	headVersion, err := rowstore.Read(ctx, s.table, headKey, &head)
 	if err != nil {
 		return nil, err
 	}
@@ -190,20 +190,20 @@
 
 func (s *Store) commit(ctx context.Context, head Head, headVersion int64, merged Document, changes []Change, author string) (*Config, error) {
 	digest := merged.Digest()
-	if err := s.objects.Put(ctx, objectName(digest), platform.Encode(merged)); err != nil {
+	if err := s.objects.Put(ctx, objectName(digest), rowstore.Encode(merged)); err != nil {
 		return nil, err
 	}
 	next := Head{Version: head.Version + 1, Digest: digest}
 	delta := Delta{Version: next.Version, Digest: digest, Author: author, Changes: changes}
-	if len(platform.Encode(delta)) > maxDelta {
+	if len(rowstore.Encode(delta)) > maxDelta {
 		// It leads to no digest, so that everybody reads the whole instead.
 		delta.Changes = nil
 	}
 	_, err := s.table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: headKey, Version: headVersion}},
 		Writes: []sesamepitch.Write{
-			{Key: headKey, Value: platform.Encode(next)},
-			{Key: deltaKey(next.Version), Value: platform.Encode(delta)},
+			{Key: headKey, Value: rowstore.Encode(next)},
+			{Key: deltaKey(next.Version), Value: rowstore.Encode(delta)},
 			{Key: deltaKey(next.Version - keptDeltas), Delete: true},
 		},
 	})
@@ -219,16 +219,16 @@
 // confirm reads back whether a commit with a lost answer took effect.
 func (s *Store) confirm(ctx context.Context, delta Delta, cause error) error {
 	var stored Delta
-	version, err := platform.Read(ctx, s.table, deltaKey(delta.Version), &stored)
+	version, err := rowstore.Read(ctx, s.table, deltaKey(delta.Version), &stored)
 	switch {
 	case err != nil:
 		return cause
 	case version == 0:
-		return &platform.Error{Op: "document.confirm", Kind: sesamepitch.KindConflict, Err: cause}
+		return &rowstore.Error{Op: "document.confirm", Kind: sesamepitch.KindConflict, Err: cause}
 	case stored.Digest == delta.Digest && stored.Author == delta.Author:
 		return nil
 	default:
-		return &platform.Error{Op: "document.confirm", Kind: sesamepitch.KindConflict, Err: cause}
+		return &rowstore.Error{Op: "document.confirm", Kind: sesamepitch.KindConflict, Err: cause}
 	}
 }
 
@@ -244,7 +244,7 @@
 	digest := head.Digest
 	if version != head.Version {
 		var delta Delta
-		stored, err := platform.Read(ctx, s.table, deltaKey(version), &delta)
+		stored, err := rowstore.Read(ctx, s.table, deltaKey(version), &delta)
 		if err != nil {
 			return nil, err
 		}
--- a/src/lease/lease.go
+++ b/src/lease/lease.go
@@ -10,7 +10,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 )
 
 // Record is the lease's row. Epoch is the fencing number: it grows with each
@@ -145,7 +145,7 @@
 func (l *Lease) txn(version int64, next Record) sesamepitch.Txn {
 	return sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: l.key, Version: version}},
-		Writes: []sesamepitch.Write{{Key: l.key, Value: platform.Encode(next)}},
+		Writes: []sesamepitch.Write{{Key: l.key, Value: rowstore.Encode(next)}},
 	}
 }
 
@@ -185,7 +185,7 @@
 // the oldest: the lease counts from when that was sent. Else the old end stays.
 func (l *Lease) readBack(ctx context.Context) error {
 	var row Record
-	version, err := platform.Read(ctx, l.table, l.key, &row)
+	version, err := rowstore.Read(ctx, l.table, l.key, &row)
 	if err != nil {
 		return err
 	}
@@ -237,7 +237,7 @@
 
 func (l *Lease) observe(ctx context.Context) error {
 	var row Record
-	version, err := platform.Read(ctx, l.table, l.key, &row)
+	version, err := rowstore.Read(ctx, l.table, l.key, &row)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
--- a/src/notice/log.go
+++ b/src/notice/log.go
@@ -8,7 +8,7 @@
 	"sync"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 )
 
 const (
@@ -63,7 +63,7 @@
 
 func (l *Log) pull(ctx context.Context) (int64, error) {
 	var last head
-	version, err := platform.Read(ctx, l.table, headKey, &last)
+	version, err := rowstore.Read(ctx, l.table, headKey, &last)
 	if err != nil {
 		return 0, err
 	}
@@ -78,7 +78,7 @@
 	}
 	for l.read < last.Batches {
 		var batch []Notice
-		found, err := platform.Read(ctx, l.table, batchKey(l.read+1), &batch)
+		found, err := rowstore.Read(ctx, l.table, batchKey(l.read+1), &batch)
 		if err != nil {
 			return 0, err
 		}
@@ -94,7 +94,7 @@
 // pullBase reads what the batches up to a number, at least, have come to.
 func (l *Log) pullBase(ctx context.Context, upTo int64) error {
 	var folded []Notice
-	if _, err := platform.Read(ctx, l.table, baseKey, &folded); err != nil {
+	if _, err := rowstore.Read(ctx, l.table, baseKey, &folded); err != nil {
 		return err
 	}
 	l.set.Add(tablePeer, folded...)
@@ -132,8 +132,8 @@
 	_, err := l.table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: headKey, Version: headVersion}},
 		Writes: []sesamepitch.Write{
-			{Key: headKey, Value: platform.Encode(head{Batches: batch, Base: l.base})},
-			{Key: batchKey(batch), Value: platform.Encode(notices)},
+			{Key: headKey, Value: rowstore.Encode(head{Batches: batch, Base: l.base})},
+			{Key: batchKey(batch), Value: rowstore.Encode(notices)},
 		},
 	})
 	switch sesamepitch.KindOf(err) {
@@ -164,8 +164,8 @@
 	_, err = l.table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: headKey, Version: version}},
 		Writes: []sesamepitch.Write{
-			{Key: headKey, Value: platform.Encode(head{Batches: l.read, Base: l.read})},
-			{Key: baseKey, Value: platform.Encode(l.set.Lasting())},
+			{Key: headKey, Value: rowstore.Encode(head{Batches: l.read, Base: l.read})},
+			{Key: baseKey, Value: rowstore.Encode(l.set.Lasting())},
 		},
 	})
 	if err != nil {
@@ -188,7 +188,7 @@
 			keys = append(keys, row.Key)
 		}
 	}
-	return len(keys), platform.DeleteRows(ctx, l.table, keys)
+	return len(keys), rowstore.DeleteRows(ctx, l.table, keys)
 }
 
 // Batches returns how many batches of the table's log the set holds.
--- a/src/orders/orders.go
+++ b/src/orders/orders.go
@@ -15,8 +15,8 @@
 	"sesamepitch/src/endpoint"
 	"sesamepitch/src/lease"
 	"sesamepitch/src/notice"
-	"sesamepitch/src/platform"
 	"sesamepitch/src/pool"
+	"sesamepitch/src/rowstore"
 	"sesamepitch/src/supervisor"
 
 	"github.com/go-logr/logr"
@@ -267,7 +267,7 @@
 func (m *Manager) start(ctx context.Context, e document.Endpoint, epoch int64, until, listedAt time.Time) {
 	key := "order/" + m.leader.Centre() + "/" + e.Name
 	var row intent
-	version, err := platform.Read(ctx, m.table, key, &row)
+	version, err := rowstore.Read(ctx, m.table, key, &row)
 	if err != nil {
 		return
 	}
@@ -300,7 +300,7 @@
 func (m *Manager) write(ctx context.Context, key string, version int64, row intent) (int64, error) {
 	return m.table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: key, Version: version}},
-		Writes: []sesamepitch.Write{{Key: key, Value: platform.Encode(row)}},
+		Writes: []sesamepitch.Write{{Key: key, Value: rowstore.Encode(row)}},
 	})
 }
 
--- a/src/registry/members.go
+++ b/src/registry/members.go
@@ -8,7 +8,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 
 	"github.com/go-logr/logr"
 )
@@ -173,7 +173,7 @@
 	defer cancel()
 	m.renewal++
 	row := member{Address: m.address, Centre: m.centre, Cores: m.cores, Started: m.started, Renewal: m.renewal}
-	_, err := m.table.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: memberKey(m.name), Value: platform.Encode(row)}}})
+	_, err := m.table.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: memberKey(m.name), Value: rowstore.Encode(row)}}})
 	return err
 }
 
--- a/src/retention/retention_test.go
+++ b/src/retention/retention_test.go
@@ -11,8 +11,8 @@
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/call"
 	"sesamepitch/src/notice"
-	"sesamepitch/src/platform"
 	"sesamepitch/src/retention"
+	"sesamepitch/src/rowstore"
 	"sesamepitch/src/standin"
 	"sesamepitch/src/usage"
 
@@ -22,11 +22,11 @@
 )
 
 // startPlatform runs the platform stand-in and returns a client of it.
-func startPlatform(t *testing.T) *platform.Client {
+func startPlatform(t *testing.T) *rowstore.Client {
 	t.Helper()
 	server := httptest.NewServer(standin.NewPlatform())
 	t.Cleanup(server.Close)
-	return platform.New(strings.TrimPrefix(server.URL, "http://"))
+	return rowstore.New(strings.TrimPrefix(server.URL, "http://"))
 }
 
 // keys lists the table's keys with a prefix.
--- a/src/platform/error.go
+++ b/src/rowstore/error.go
@@ -1,6 +1,6 @@
-// Package platform reaches the platform's table, object store, endpoint
+// Package rowstore reaches the platform's table, object store, endpoint
 // orders, usage reports and live list over HTTP and JSON.
-package platform
+package rowstore
 
 import sesamepitch "sesamepitch/src"
 
--- a/src/platform/update.go
+++ b/src/rowstore/update.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"context"
--- a/src/step/closed.go
+++ b/src/step/closed.go
@@ -5,7 +5,7 @@
 	"sort"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 )
 
 // span is a run of step numbers, both ends included.
@@ -49,6 +49,6 @@
 // readClosed reads the closed steps of a trainer and their row's version.
 func readClosed(ctx context.Context, table sesamepitch.Table, trainer string) (closedSteps, int64, error) {
 	var closed closedSteps
-	version, err := platform.Read(ctx, table, closedKey(trainer), &closed)
+	version, err := rowstore.Read(ctx, table, closedKey(trainer), &closed)
 	return closed, version, err
 }
--- a/src/step/driver.go
+++ b/src/step/driver.go
@@ -8,7 +8,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/document"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 )
 
 const (
@@ -150,7 +150,7 @@
 			return err
 		}
 		select {
-		case <-d.m.clock.After(platform.Backoff(attempt)):
+		case <-d.m.clock.After(rowstore.Backoff(attempt)):
 		case <-claiming.Done():
 			if ctx.Err() != nil {
 				return ctx.Err()
--- a/src/step/ledger.go
+++ b/src/step/ledger.go
@@ -7,7 +7,7 @@
 	"fmt"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 	"sesamepitch/src/usage"
 
 	"github.com/google/uuid"
@@ -34,12 +34,12 @@
 	count   int
 }
 
-func specDigest(spec Spec) string { return sesamepitch.Digest(platform.Encode(spec)) }
+func specDigest(spec Spec) string { return sesamepitch.Digest(rowstore.Encode(spec)) }
 
 // claim makes this daemon the driver.
 func (l *ledger) claim(ctx context.Context) error {
 	var row state
-	version, err := platform.Read(ctx, l.table, stepKey(l.spec.Trainer, l.spec.Step), &row)
+	version, err := rowstore.Read(ctx, l.table, stepKey(l.spec.Trainer, l.spec.Step), &row)
 	if err != nil {
 		return err
 	}
@@ -57,7 +57,7 @@
 	next := state{Epoch: row.Epoch + 1, Driver: l.run, Digest: l.digest, Samples: len(l.spec.identities()), At: l.clock.Now(), Done: row.Done}
 	revision, err := l.table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: stepKey(l.spec.Trainer, l.spec.Step), Version: version}},
-		Writes: []sesamepitch.Write{{Key: stepKey(l.spec.Trainer, l.spec.Step), Value: platform.Encode(next)}},
+		Writes: []sesamepitch.Write{{Key: stepKey(l.spec.Trainer, l.spec.Step), Value: rowstore.Encode(next)}},
 	})
 	if err != nil {
 		return err
@@ -154,7 +154,7 @@
 // still drives the step.
 func (l *ledger) commit(ctx context.Context, e *entry) error {
 	if !e.stored {
-		if err := l.objects.Put(ctx, e.row.Object, platform.Encode(e.samples)); err != nil {
+		if err := l.objects.Put(ctx, e.row.Object, rowstore.Encode(e.samples)); err != nil {
 			return err
 		}
 		e.stored = true
@@ -192,21 +192,21 @@
 			window.Open(),
 		},
 		Writes: []sesamepitch.Write{
-			{Key: e.key, Value: platform.Encode(e.row)},
-			{Key: window.BatchKey(e.row.Nonce), Value: platform.Encode(usage.Row{Figures: e.figures})},
+			{Key: e.key, Value: rowstore.Encode(e.row)},
+			{Key: window.BatchKey(e.row.Nonce), Value: rowstore.Encode(usage.Row{Figures: e.figures})},
 		},
 	}
 }
 
 func (l *ledger) arrived(ctx context.Context, e *entry) (bool, error) {
 	var row batch
-	version, err := platform.Read(ctx, l.table, e.key, &row)
+	version, err := rowstore.Read(ctx, l.table, e.key, &row)
 	return version != 0 && row.Nonce == e.row.Nonce, err
 }
 
 func (l *ledger) stillDriver(ctx context.Context) error {
 	var row state
-	version, err := platform.Read(ctx, l.table, stepKey(l.spec.Trainer, l.spec.Step), &row)
+	version, err := rowstore.Read(ctx, l.table, stepKey(l.spec.Trainer, l.spec.Step), &row)
 	if err != nil {
 		return err
 	}
@@ -244,14 +244,14 @@
 		return err
 	}
 	var row acknowledged
-	version, err := platform.Read(ctx, table, key, &row)
+	version, err := rowstore.Read(ctx, table, key, &row)
 	if err != nil {
 		return err
 	}
 	merged := mergeIdentities(row.Samples, samples)
 	_, err = table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: key, Version: version}, {Key: closedKey(trainer), Version: closedVersion}},
-		Writes: []sesamepitch.Write{{Key: key, Value: platform.Encode(acknowledged{Samples: merged, Done: row.Done || done})}},
+		Writes: []sesamepitch.Write{{Key: key, Value: rowstore.Encode(acknowledged{Samples: merged, Done: row.Done || done})}},
 	})
 	return err
 }
@@ -271,6 +271,6 @@
 // acknowledged reads what the trainer has confirmed.
 func (l *ledger) acknowledged(ctx context.Context) ([]Identity, error) {
 	var row acknowledged
-	_, err := platform.Read(ctx, l.table, ackKey(l.spec.Trainer, l.spec.Step), &row)
+	_, err := rowstore.Read(ctx, l.table, ackKey(l.spec.Trainer, l.spec.Step), &row)
 	return row.Samples, err
 }
--- a/src/step/sweep.go
+++ b/src/step/sweep.go
@@ -8,7 +8,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 )
 
 // Memory is how long after a step was last begun or resumed it can be resumed
@@ -74,7 +74,7 @@
 	if err := s.removeObjects(ctx, batches); err != nil {
 		return 0, err
 	}
-	if err := platform.DeleteRows(ctx, s.table, sesamepitch.KeysOf(batches)); err != nil {
+	if err := rowstore.DeleteRows(ctx, s.table, sesamepitch.KeysOf(batches)); err != nil {
 		return 0, err
 	}
 	_, err = s.table.Commit(ctx, sesamepitch.Txn{
@@ -94,8 +94,8 @@
 	return s.table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: row.Key, Version: row.Version}, {Key: closedKey(trainer), Version: version}},
 		Writes: []sesamepitch.Write{
-			{Key: row.Key, Value: platform.Encode(step)},
-			{Key: closedKey(trainer), Value: platform.Encode(closed.with(number))},
+			{Key: row.Key, Value: rowstore.Encode(step)},
+			{Key: closedKey(trainer), Value: rowstore.Encode(closed.with(number))},
 		},
 	})
 }
--- a/src/step/sweep_test.go
+++ b/src/step/sweep_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 	"sesamepitch/src/standin"
 	"sesamepitch/src/usage"
 
@@ -32,7 +32,7 @@
 	server := httptest.NewServer(standin.NewPlatform())
 	defer server.Close()
 	ctx, clock := context.Background(), clockwork.NewFakeClock()
-	p := platform.New(strings.TrimPrefix(server.URL, "http://"))
+	p := rowstore.New(strings.TrimPrefix(server.URL, "http://"))
 	sweeper := NewSweeper(clock, p)
 	old := newLedger(p, clock, 7, "d1")
 	assert.NilError(t, old.claim(ctx))
@@ -116,7 +116,7 @@
 	server := httptest.NewServer(standin.NewPlatform())
 	defer server.Close()
 	ctx, clock, fails := context.Background(), clockwork.NewFakeClock(), true
-	p := stubborn{Platform: platform.New(strings.TrimPrefix(server.URL, "http://")), fails: &fails}
+	p := stubborn{Platform: rowstore.New(strings.TrimPrefix(server.URL, "http://")), fails: &fails}
 	old := newLedger(p, clock, 7, "d1")
 	assert.NilError(t, old.claim(ctx))
 	assert.NilError(t, old.commit(ctx, old.prepare("coaching", []Sample{{Text: "t", Tokens: 4}})))
--- a/src/usage/meter.go
+++ b/src/usage/meter.go
@@ -8,8 +8,8 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
 	"sesamepitch/src/pool"
+	"sesamepitch/src/rowstore"
 	"sesamepitch/src/supervisor"
 
 	"github.com/go-logr/logr"
@@ -191,12 +191,12 @@
 // sealed tells whether this run can add no more: others have counted for it.
 func (m *Meter) sealed(ctx context.Context) (bool, error) {
 	var row flushed
-	version, err := platform.Read(ctx, m.table, sealedPrefix+m.run, &row)
+	version, err := rowstore.Read(ctx, m.table, sealedPrefix+m.run, &row)
 	if err != nil || version != 0 {
 		return version != 0, err
 	}
 	// A run that wrote nothing for runMemory has been swept.
-	version, err = platform.Read(ctx, m.table, flushedPrefix+m.run, &row)
+	version, err = rowstore.Read(ctx, m.table, flushedPrefix+m.run, &row)
 	return m.version != 0 && version == 0, err
 }
 
@@ -211,8 +211,8 @@
 			{Key: flushedPrefix + m.run, Version: m.version},
 		},
 		Writes: []sesamepitch.Write{
-			{Key: window.rowKey("m/" + m.run), Value: platform.Encode(Row{Figures: sums})},
-			{Key: flushedPrefix + m.run, Value: platform.Encode(flushed{Record: upTo, At: m.clock.Now()})},
+			{Key: window.rowKey("m/" + m.run), Value: rowstore.Encode(Row{Figures: sums})},
+			{Key: flushedPrefix + m.run, Value: rowstore.Encode(flushed{Record: upTo, At: m.clock.Now()})},
 		},
 	})
 	if err != nil {
@@ -247,7 +247,7 @@
 		return 0, cause
 	}
 	var row flushed
-	version, err := platform.Read(ctx, m.table, flushedPrefix+m.run, &row)
+	version, err := rowstore.Read(ctx, m.table, flushedPrefix+m.run, &row)
 	if err != nil {
 		return 0, cause
 	}
--- a/src/usage/reporter.go
+++ b/src/usage/reporter.go
@@ -7,7 +7,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/lease"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 	"sesamepitch/src/supervisor"
 
 	"github.com/go-logr/logr"
@@ -93,7 +93,7 @@
 
 func (r *Reporter) nextWindow(ctx context.Context) (Window, int64, error) {
 	var next cursor
-	version, err := platform.Read(ctx, r.table, cursorKey, &next)
+	version, err := rowstore.Read(ctx, r.table, cursorKey, &next)
 	if err != nil {
 		return Window{}, 0, err
 	}
@@ -119,7 +119,7 @@
 	}
 	revision, err := r.table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: cursorKey}},
-		Writes: []sesamepitch.Write{{Key: cursorKey, Value: platform.Encode(cursor{Window: first.ID()})}},
+		Writes: []sesamepitch.Write{{Key: cursorKey, Value: rowstore.Encode(cursor{Window: first.ID()})}},
 	})
 	return first, revision, err
 }
@@ -139,7 +139,7 @@
 	for i, row := range rows {
 		keys[i] = row.Key
 	}
-	version, err := platform.Read(ctx, r.table, frozenPrefix+window.ID(), &report)
+	version, err := rowstore.Read(ctx, r.table, frozenPrefix+window.ID(), &report)
 	if err != nil || version != 0 {
 		return report, keys, err
 	}
@@ -150,7 +150,7 @@
 	report = sesamepitch.UsageReport{ID: window.ID(), Start: window.start, End: window.End(), Figures: sums.List()}
 	_, err = r.table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: frozenPrefix + window.ID()}},
-		Writes: []sesamepitch.Write{{Key: frozenPrefix + window.ID(), Value: platform.Encode(report)}},
+		Writes: []sesamepitch.Write{{Key: frozenPrefix + window.ID(), Value: rowstore.Encode(report)}},
 	})
 	return report, keys, err
 }
@@ -170,7 +170,7 @@
 func (r *Reporter) close(ctx context.Context, window Window) error {
 	_, err := r.table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{window.Open()},
-		Writes: []sesamepitch.Write{{Key: window.closingKey(), Value: platform.Encode(r.holder)}},
+		Writes: []sesamepitch.Write{{Key: window.closingKey(), Value: rowstore.Encode(r.holder)}},
 	})
 	if sesamepitch.KindOf(err) == sesamepitch.KindConflict {
 		return nil
@@ -193,8 +193,8 @@
 // finish marks the window reported, moves the cursor and deletes the rows.
 func (r *Reporter) finish(ctx context.Context, window Window, version int64, keys []string) error {
 	writes := []sesamepitch.Write{
-		{Key: reportedPrefix + window.ID(), Value: platform.Encode(r.holder)},
-		{Key: cursorKey, Value: platform.Encode(cursor{Window: window.Next().ID()})},
+		{Key: reportedPrefix + window.ID(), Value: rowstore.Encode(r.holder)},
+		{Key: cursorKey, Value: rowstore.Encode(cursor{Window: window.Next().ID()})},
 	}
 	for _, key := range keys {
 		writes = append(writes, sesamepitch.Write{Key: key, Delete: true})
--- a/src/usage/shadow.go
+++ b/src/usage/shadow.go
@@ -8,8 +8,8 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
 	"sesamepitch/src/pool"
+	"sesamepitch/src/rowstore"
 	"sesamepitch/src/supervisor"
 
 	"github.com/go-logr/logr"
@@ -121,7 +121,7 @@
 func (s *Shadow) check(ctx context.Context) {
 	for _, run := range s.quiet() {
 		var row flushed
-		version, err := platform.Read(ctx, s.table, flushedPrefix+run, &row)
+		version, err := rowstore.Read(ctx, s.table, flushedPrefix+run, &row)
 		if err != nil {
 			s.restart(run)
 			continue
@@ -214,13 +214,13 @@
 func (s *Shadow) seal(ctx context.Context, run string, record, version int64) (int64, bool) {
 	_, err := s.table.Commit(ctx, sesamepitch.Txn{
 		Checks: []sesamepitch.Check{{Key: sealedPrefix + run}, {Key: flushedPrefix + run, Version: version}},
-		Writes: []sesamepitch.Write{{Key: sealedPrefix + run, Value: platform.Encode(flushed{Record: record, At: s.clock.Now()})}},
+		Writes: []sesamepitch.Write{{Key: sealedPrefix + run, Value: rowstore.Encode(flushed{Record: record, At: s.clock.Now()})}},
 	})
 	if err == nil {
 		return record, true
 	}
 	var row flushed
-	sealed, readErr := platform.Read(ctx, s.table, sealedPrefix+run, &row)
+	sealed, readErr := rowstore.Read(ctx, s.table, sealedPrefix+run, &row)
 	return row.Record, readErr == nil && sealed != 0
 }
 
@@ -236,15 +236,15 @@
 		_, err = s.table.Commit(ctx, sesamepitch.Txn{
 			Checks: []sesamepitch.Check{window.Open(), {Key: key}, {Key: mark}},
 			Writes: []sesamepitch.Write{
-				{Key: key, Value: platform.Encode(Row{Figures: sums})},
-				{Key: mark, Value: platform.Encode(flushed{Record: last, At: s.clock.Now()})},
+				{Key: key, Value: rowstore.Encode(Row{Figures: sums})},
+				{Key: mark, Value: rowstore.Encode(flushed{Record: last, At: s.clock.Now()})},
 			},
 		})
 		if err == nil {
 			return nil
 		}
 		var done flushed
-		written, readErr := platform.Read(ctx, s.table, mark, &done)
+		written, readErr := rowstore.Read(ctx, s.table, mark, &done)
 		if readErr == nil && written != 0 {
 			return nil
 		}
--- a/src/usage/sweep.go
+++ b/src/usage/sweep.go
@@ -6,7 +6,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/platform"
+	"sesamepitch/src/rowstore"
 )
 
 const (
@@ -46,10 +46,10 @@
 // too young or not reported.
 func (s *Sweeper) sweepWindows(ctx context.Context, limit int) (int, error) {
 	var reportNext, at cursor
-	if version, err := platform.Read(ctx, s.table, cursorKey, &reportNext); err != nil || version == 0 {
+	if version, err := rowstore.Read(ctx, s.table, cursorKey, &reportNext); err != nil || version == 0 {
 		return 0, err
 	}
-	version, err := platform.Read(ctx, s.table, sweptKey, &at)
+	version, err := rowstore.Read(ctx, s.table, sweptKey, &at)
 	if err != nil {
 		return 0, err
 	}
@@ -73,7 +73,7 @@
 	if removed == 0 && version != 0 {
 		return 0, nil
 	}
-	txn.Writes = append(txn.Writes, sesamepitch.Write{Key: sweptKey, Value: platform.Encode(cursor{Window: window.ID()})})
+	txn.Writes = append(txn.Writes, sesamepitch.Write{Key: sweptKey, Value: rowstore.Encode(cursor{Window: window.ID()})})
 	_, err = s.table.Commit(ctx, txn)
 	return removed, err
 }
@@ -102,7 +102,7 @@
 				old = append(old, row.Key)
 			}
 		}
-		if err := platform.DeleteRows(ctx, s.table, old); err != nil {
+		if err := rowstore.DeleteRows(ctx, s.table, old); err != nil {
 			return removed, err
 		}
 		removed += len(old)
