--- /dev/null
+++ b/src/billing/billing_test.go
@@ -0,0 +1,128 @@
+package billing_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/billing"
+	"sesamepitch/src/standin"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+)
+
+// duties notes reports; the first answers of each window can be lost.
+type duties struct {
+	mu      sync.Mutex
+	reports []sesamepitch.WindowUsage
+	lose    int
+}
+
+func (d *duties) ReportWindow(_ context.Context, usage sesamepitch.WindowUsage) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reports = append(d.reports, usage)
+	if d.lose > 0 {
+		d.lose--
+		return &billing.Error{Op: "report", Kind: sesamepitch.KindUnknown}
+	}
+	return nil
+}
+
+func (d *duties) OrderCount(context.Context, sesamepitch.EndpointCount) error { return nil }
+
+func (d *duties) seen() []sesamepitch.WindowUsage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]sesamepitch.WindowUsage(nil), d.reports...)
+}
+
+// authority is a lease that is always held with one epoch.
+type authority int64
+
+func (a authority) Held() (int64, time.Time, bool) {
+	return int64(a), time.Now().Add(time.Hour), a > 0
+}
+
+const window = 500 * time.Millisecond
+
+// TestReports counts at two instances, with reporters that take turns and lose
+// answers: each window has one set of figures, and no request is missed.
+func TestReports(t *testing.T) {
+	store := standin.NewMemory()
+	clock := sesamepitch.SystemClock{}
+	ctx, cancel := context.WithCancel(context.Background())
+	sent := &duties{lose: 2}
+	ended := make(chan error, 4)
+	start := func(run func(context.Context) error) {
+		go func() { ended <- run(ctx) }()
+	}
+	var meters []*billing.Meter
+	for _, name := range []string{"a", "b"} {
+		meter := billing.NewMeter(clock, logr.Discard(), store, window, name)
+		meters = append(meters, meter)
+		start(meter.Run)
+	}
+	for epoch, name := range []string{"a", "b"} {
+		reporter := billing.NewReporter(clock, logr.Discard(), store, sent, authority(epoch+1), name, window, 5*time.Second)
+		start(reporter.Run)
+	}
+	for range 30 {
+		meters[0].Count("guild", time.Now())
+		meters[1].Count("guild", time.Now())
+		meters[1].Count("desk", time.Now())
+		time.Sleep(20 * time.Millisecond)
+	}
+	last := time.Now().UnixNano() / int64(window)
+	time.Sleep(4500 * time.Millisecond)
+	cancel()
+	for range 4 {
+		<-ended
+	}
+	figures := map[int64]map[string]int64{}
+	totals := map[string]int64{}
+	for _, report := range sent.seen() {
+		if before, known := figures[report.Window]; known {
+			assert.DeepEqual(t, before, report.Counts)
+			continue
+		}
+		figures[report.Window] = report.Counts
+		if report.Window <= last {
+			totals["guild"] += report.Counts["guild"]
+			totals["desk"] += report.Counts["desk"]
+		}
+	}
+	assert.DeepEqual(t, totals, map[string]int64{"guild": 60, "desk": 30})
+}
+
+// TestLateCounts come after their window was frozen: they change nothing.
+func TestLateCounts(t *testing.T) {
+	store := standin.NewMemory()
+	ctx := context.Background()
+	meter := billing.NewMeter(sesamepitch.SystemClock{}, logr.Discard(), store, time.Hour, "a")
+	meter.Count("guild", time.Now())
+	meter.Flush(ctx)
+	rows, err := store.List(ctx, "usage/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 1)
+	_, err = store.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: rows[0].Key[:len(rows[0].Key)-1] + "frozen counts", Value: []byte(`{}`)}}})
+	assert.NilError(t, err)
+	meter.Count("guild", time.Now())
+	meter.Flush(ctx)
+	row, err := store.Get(ctx, rows[0].Key)
+	assert.NilError(t, err)
+	assert.Equal(t, string(row.Value), `{"guild":1}`)
+}
+
+// TestNoReportWithoutLease sends nothing.
+func TestNoReportWithoutLease(t *testing.T) {
+	sent := &duties{}
+	reporter := billing.NewReporter(sesamepitch.SystemClock{}, logr.Discard(), standin.NewMemory(), sent, authority(0), "a", window, 5*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 1200*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, reporter.Run(ctx), context.DeadlineExceeded)
+	assert.Equal(t, len(sent.seen()), 0)
+}
--- /dev/null
+++ b/src/eventlog/eventlog_test.go
@@ -0,0 +1,54 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/eventlog"
+
+	"gotest.tools/v3/assert"
+)
+
+// output can be blocked.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(line []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(line)
+}
+
+// TestNeverBlocks logs far more than an output that stands still takes: no
+// call waits, and what was dropped is counted and said.
+func TestNeverBlocks(t *testing.T) {
+	out := &output{}
+	out.mu.Lock()
+	writer := eventlog.New(sesamepitch.SystemClock{}, out)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- writer.Run(ctx) }()
+	start := time.Now()
+	for range 20_000 {
+		n, err := writer.Write([]byte("line\n"))
+		assert.NilError(t, err)
+		assert.Equal(t, n, 5)
+	}
+	assert.Assert(t, time.Since(start) < time.Second)
+	dropped := writer.Dropped()
+	assert.Assert(t, dropped > 15_000, "%d dropped", dropped)
+	out.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	cancel()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+	text := out.text.String()
+	assert.Equal(t, int64(strings.Count(text, "line\n")), 20_000-dropped)
+	assert.Assert(t, strings.Contains(text, "log lines dropped"))
+}
--- /dev/null
+++ b/src/registry/registry_test.go
@@ -0,0 +1,202 @@
+package registry_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/registry"
+	"sesamepitch/src/standin"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// decoder takes a row's version as the configuration's, and a value of "bad"
+// as unreadable.
+type decoder struct{}
+
+func (decoder) Config(row sesamepitch.Row) (*registry.Config, error) {
+	if string(row.Value) == "bad" {
+		return nil, errors.New("unreadable")
+	}
+	return registry.NewConfig(registry.Config{Version: int64(len(row.Value))}), nil
+}
+
+func (decoder) Endpoint(row sesamepitch.Row, _ time.Time) (registry.Endpoint, error) {
+	if string(row.Value) == "bad" {
+		return registry.Endpoint{}, errors.New("unreadable")
+	}
+	id := row.Key[strings.LastIndexByte(row.Key, '/')+1:]
+	return registry.Endpoint{ID: id, Service: "lm", Centre: "dc-" + id, Slots: 1, Draining: string(row.Value) == "draining"}, nil
+}
+
+func (decoder) Operation(row sesamepitch.Row) registry.Operation {
+	switch {
+	case row.Key == "op//config":
+		return registry.Operation{Kind: registry.OperationConfig}
+	case strings.HasPrefix(row.Key, "op//out/"):
+		return registry.Operation{Kind: registry.OperationCentreOut, Centre: strings.TrimPrefix(row.Key, "op//out/")}
+	default:
+		return registry.Operation{Kind: registry.OperationVersion, Model: "coach", Version: row.Version}
+	}
+}
+
+func ids(endpoints []registry.Endpoint) map[string]bool {
+	set := map[string]bool{}
+	for _, e := range endpoints {
+		set[e.ID] = true
+	}
+	return set
+}
+
+func endpointRow(id, value string, version int64) sesamepitch.Row {
+	return sesamepitch.Row{Key: "servers//" + id, Value: []byte(value), Version: version}
+}
+
+// TestNoWayBack applies rows in any order, also again: what is in force never
+// becomes older.
+func TestNoWayBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := registry.New(clockwork.NewFakeClock(), decoder{})
+		newest, newestNamed := int64(0), int64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			version := rapid.Int64Range(1, 30).Draw(t, "row")
+			size := rapid.IntRange(1, 20).Draw(t, "config")
+			config := sesamepitch.Row{Key: "op//config", Value: []byte(strings.Repeat("x", size)), Version: version}
+			named := sesamepitch.Row{Key: "op//version", Version: version}
+			r.ApplyOperators([]sesamepitch.Row{config, named}, rapid.Bool().Draw(t, "whole"))
+			if r.Config().Version < newest || r.Versions()["coach"] < newestNamed {
+				t.Fatalf("version %d after %d", r.Config().Version, newest)
+			}
+			newest, newestNamed = r.Config().Version, r.Versions()["coach"]
+		}
+	})
+}
+
+func TestEndpoints(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := registry.New(clock, decoder{})
+	faults := r.ApplyEndpoints([]sesamepitch.Row{endpointRow("a", "", 1), endpointRow("b", "", 2), endpointRow("c", "bad", 3)}, true, time.Time{})
+	assert.Equal(t, len(faults), 1)
+	assert.DeepEqual(t, ids(r.Endpoints("lm")), map[string]bool{"a": true, "b": true})
+	assert.Equal(t, len(r.Endpoints("desk")), 0)
+
+	r.ApplyEndpoints([]sesamepitch.Row{endpointRow("a", "draining", 4)}, false, time.Time{})
+	assert.DeepEqual(t, ids(r.Endpoints("lm")), map[string]bool{"b": true})
+	r.ApplyEndpoints([]sesamepitch.Row{endpointRow("a", "", 3)}, false, time.Time{})
+	assert.DeepEqual(t, ids(r.Endpoints("lm")), map[string]bool{"b": true}) // an older row changes nothing
+
+	r.ApplyOperators([]sesamepitch.Row{{Key: "op//out/dc-b", Version: 5}}, false)
+	assert.Equal(t, len(r.Endpoints("lm")), 0)
+	assert.Assert(t, r.CentreOut("dc-b"))
+	r.ApplyOperators([]sesamepitch.Row{{Key: "op//out/dc-b", Version: 6, Deleted: true}}, false)
+	assert.DeepEqual(t, ids(r.Endpoints("lm")), map[string]bool{"b": true})
+
+	r.ApplyEndpoints([]sesamepitch.Row{{Key: "servers//b", Version: 7, Deleted: true}}, false, time.Time{})
+	assert.Equal(t, len(r.Endpoints("lm")), 0)
+	_, present := r.All()["b"]
+	assert.Assert(t, !present)
+}
+
+// TestLapsedEntries vanish while the store is away: they are kept for the two
+// seconds in which endpoints that live come back, and no longer.
+func TestLapsedEntries(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := registry.New(clock, decoder{})
+	r.ApplyEndpoints([]sesamepitch.Row{endpointRow("a", "", 1), endpointRow("b", "", 2)}, true, time.Time{})
+	back := clock.Now()
+	gone := []sesamepitch.Row{{Key: "servers//a", Version: 3, Deleted: true}, {Key: "servers//b", Version: 4, Deleted: true}}
+	r.ApplyEndpoints(gone, false, back)
+	assert.Equal(t, len(r.Endpoints("lm")), 2)
+	clock.Advance(time.Second)
+	r.ApplyEndpoints([]sesamepitch.Row{endpointRow("a", "", 5)}, false, back)
+	clock.Advance(1300 * time.Millisecond)
+	assert.DeepEqual(t, ids(r.Endpoints("lm")), map[string]bool{"a": true})
+	r.ApplyEndpoints(nil, false, back)
+	assert.Equal(t, len(r.All()), 1)
+}
+
+func TestSnapshotForgets(t *testing.T) {
+	r := registry.New(clockwork.NewFakeClock(), decoder{})
+	r.ApplyEndpoints([]sesamepitch.Row{endpointRow("a", "", 1), endpointRow("b", "", 2)}, true, time.Time{})
+	r.ApplyOperators([]sesamepitch.Row{{Key: "op//out/dc-b", Version: 3}}, true)
+	r.ApplyEndpoints([]sesamepitch.Row{endpointRow("b", "", 2)}, true, time.Time{})
+	r.ApplyOperators(nil, true)
+	assert.DeepEqual(t, ids(r.Endpoints("lm")), map[string]bool{"b": true})
+}
+
+// TestFollower goes on through refusals and a lost history, and misses no row.
+func TestFollower(t *testing.T) {
+	store := standin.NewMemory()
+	put := func(key string) {
+		_, err := store.Commit(context.Background(), sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: "t//" + key}}})
+		assert.NilError(t, err)
+	}
+	put("before")
+	seen := make(chan string, 100)
+	follower := registry.NewFollower(sesamepitch.SystemClock{}, logr.Discard(), store, "t", func(update registry.Update) {
+		for _, row := range update.Rows {
+			seen <- strings.TrimPrefix(row.Key, "t//")
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- follower.Run(ctx) }()
+	wait := func(key string) {
+		t.Helper()
+		for timeout := time.After(5 * time.Second); ; {
+			select {
+			case got := <-seen:
+				if got == key {
+					return
+				}
+			case <-timeout:
+				t.Fatalf("row %q was missed", key)
+			}
+		}
+	}
+	wait("before")
+	put("live")
+	wait("live")
+	store.SetFault(func(string, string) standin.Outcome { return standin.Refused })
+	time.Sleep(50 * time.Millisecond)
+	store.SetFault(nil)
+	put("after an outage")
+	wait("after an outage")
+	store.ForgetHistory()
+	put("after a lost history")
+	wait("after a lost history")
+	cancel()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+}
+
+func TestMembers(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := standin.NewMemory()
+	weak := registry.NewMembers(clock, logr.Discard(), store, "weak", "dc-1", "10.0.0.1:1", 0.2, []string{"10.0.0.9:1", "10.0.0.1:1"})
+	assert.DeepEqual(t, weak.Peers(), []string{"10.0.0.9:1"})
+	assert.Assert(t, !weak.IsStrong(), "nobody else is known yet")
+	rows := []sesamepitch.Row{
+		{Key: "member//weak", Value: []byte(`{"address":"10.0.0.1:1","centre":"dc-1","cores":0.2}`)},
+		{Key: "member//strong", Value: []byte(`{"address":"10.0.0.2:1","centre":"dc-2","cores":0.8}`)},
+		{Key: "member//stray", Value: []byte(`[`)},
+	}
+	weak.Apply(registry.Update{Rows: rows, Whole: true})
+	strong := registry.NewMembers(clock, logr.Discard(), store, "strong", "dc-2", "10.0.0.2:1", 0.8, nil)
+	strong.Apply(registry.Update{Rows: rows, Whole: true})
+	assert.Assert(t, !strong.IsStrong(), "others may still announce themselves")
+	clock.Advance(1200 * time.Millisecond)
+	assert.Assert(t, strong.IsStrong())
+	assert.Assert(t, !weak.IsStrong())
+	assert.DeepEqual(t, weak.Elsewhere(), []string{"10.0.0.2:1"})
+	assert.DeepEqual(t, weak.Peers(), []string{"10.0.0.2:1", "10.0.0.9:1"})
+	clock.Advance(20 * time.Second)
+	assert.Assert(t, weak.IsStrong(), "the strong one has not renewed its row")
+	assert.DeepEqual(t, weak.Peers(), []string{"10.0.0.9:1"})
+}
--- /dev/null
+++ b/src/relay/relay_test.go
@@ -0,0 +1,138 @@
+package relay_test
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"strings"
+	"testing"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/peer"
+	"sesamepitch/src/relay"
+	"sesamepitch/src/standin"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+)
+
+// view is the store as one instance reaches it.
+type view struct {
+	*standin.Memory
+	refuses bool
+}
+
+func (v *view) turnedAway() error {
+	if v.refuses {
+		return &relay.Error{Op: "view", Kind: sesamepitch.KindUnavailable}
+	}
+	return nil
+}
+
+func (v *view) Get(ctx context.Context, key string) (sesamepitch.Row, error) {
+	if err := v.turnedAway(); err != nil {
+		return sesamepitch.Row{}, err
+	}
+	return v.Memory.Get(ctx, key)
+}
+
+func (v *view) Commit(ctx context.Context, txn sesamepitch.Txn) (int64, error) {
+	if err := v.turnedAway(); err != nil {
+		return 0, err
+	}
+	return v.Memory.Commit(ctx, txn)
+}
+
+func (v *view) Changes(ctx context.Context, table string, after int64, wait time.Duration) (sesamepitch.Changes, error) {
+	if err := v.turnedAway(); err != nil {
+		return sesamepitch.Changes{}, err
+	}
+	return v.Memory.Changes(ctx, table, after, wait)
+}
+
+// serve lets peers reach the store through a view and returns the address.
+func serve(t *testing.T, direct sesamepitch.Store) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := rpc.NewServer()
+	assert.NilError(t, relay.Register(server, direct))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- peer.NewDialer("").Serve(ctx, listener, server) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return listener.Addr().String()
+}
+
+// TestThroughPeers reads, follows and writes while the store turns this
+// instance away, through the one peer that still reaches it.
+func TestThroughPeers(t *testing.T) {
+	ctx := context.Background()
+	memory := standin.NewMemory()
+	mine := &view{Memory: memory, refuses: true}
+	also := serve(t, &view{Memory: memory, refuses: true})
+	served := serve(t, &view{Memory: memory})
+	dialer := peer.NewDialer("")
+	defer dialer.Close()
+	store := relay.New(sesamepitch.SystemClock{}, logr.Discard(), mine, dialer, func() []string { return []string{"127.0.0.1:1", also, served} })
+	commit := func(check int64) (int64, error) {
+		return store.Commit(ctx, sesamepitch.Txn{
+			Checks: []sesamepitch.Check{{Key: "t//a", Version: check}},
+			Writes: []sesamepitch.Write{{Key: "t//a", Value: []byte("x")}},
+		})
+	}
+	var err error
+	for range 3 { // each call asks two peers at most and remembers which failed
+		if _, err = commit(0); err == nil {
+			break
+		}
+		assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindUnavailable)
+	}
+	assert.NilError(t, err)
+	_, err = commit(0)
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindConflict)
+	row, err := store.Get(ctx, "t//a")
+	assert.NilError(t, err)
+	assert.Equal(t, string(row.Value), "x")
+	changes, err := store.Changes(ctx, "t", 0, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, len(changes.Rows), 1)
+	assert.Assert(t, time.Since(store.Contact()) < time.Second)
+
+	mine.refuses = false
+	time.Sleep(800 * time.Millisecond)
+	_, err = store.Get(ctx, "t//a")
+	assert.NilError(t, err)
+}
+
+// TestUnknownStaysUnknown commits directly without an answer: it is not sent
+// again through a peer, since it may have been carried out.
+func TestUnknownStaysUnknown(t *testing.T) {
+	memory := standin.NewMemory()
+	memory.SetFault(func(op, key string) standin.Outcome {
+		if op == "commit" && strings.HasPrefix(key, "t/") {
+			return standin.LostAfter
+		}
+		return standin.Served
+	})
+	dialer := peer.NewDialer("")
+	defer dialer.Close()
+	served := serve(t, &view{Memory: memory})
+	store := relay.New(sesamepitch.SystemClock{}, logr.Discard(), memory, dialer, func() []string { return []string{served} })
+	_, err := store.Commit(context.Background(), sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: "t//a"}}})
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindUnknown)
+	assert.Equal(t, memory.Commits(), 1)
+}
+
+func TestPing(t *testing.T) {
+	dialer := peer.NewDialer("")
+	defer dialer.Close()
+	memory := standin.NewMemory()
+	store := relay.New(sesamepitch.SystemClock{}, logr.Discard(), memory, dialer, func() []string { return nil })
+	assert.Assert(t, store.Ping(context.Background(), serve(t, memory), time.Second))
+	assert.Assert(t, !store.Ping(context.Background(), "127.0.0.1:1", 200*time.Millisecond))
+}
