Tests of the gateway; a check comes before a short idle time is over

TestKeepConnections found that a connection kept for 2 s was never checked: two looks 0.5 s apart could both miss the last fifth of its time.

--- /dev/null
+++ b/src/gateway/gateway_test.go
@@ -0,0 +1,253 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/batch"
+	"sesamepitch/src/registry"
+	"sesamepitch/src/standin"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+)
+
+// decoder has one route of each kind and takes endpoints' values as their data
+// centre.
+type decoder struct{}
+
+func (decoder) Config(sesamepitch.Row) (*registry.Config, error) {
+	to := []registry.Share{{Service: "desk", Weight: 1}}
+	return registry.NewConfig(registry.Config{
+		Version: 3,
+		Routes: []registry.Route{
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: registry.Idempotent, MaxAttempts: 2, Split: to, Timeout: 600 * time.Millisecond},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: registry.AtMostOnce, MaxAttempts: 3, Split: to, Timeout: 600 * time.Millisecond},
+			{Name: "far", Host: "h", Prefix: "/far/", Kind: registry.Idempotent, MaxAttempts: 2, Split: to, Regions: []string{"elsewhere"}},
+		},
+		Services:   map[string]registry.Service{"desk": {Name: "desk", HealthPath: "/health", ColdRate: 10}},
+		Workspaces: []registry.Workspace{{Name: "guild", Keys: []string{"k"}}},
+	}), nil
+}
+
+func (decoder) Endpoint(row sesamepitch.Row, _ time.Time) (registry.Endpoint, error) {
+	id := row.Key[strings.LastIndexByte(row.Key, '/')+1:]
+	return registry.Endpoint{ID: id, Address: id, Service: "desk", Centre: string(row.Value), Slots: 6}, nil
+}
+
+func (decoder) Operation(sesamepitch.Row) registry.Operation {
+	return registry.Operation{Kind: registry.OperationConfig}
+}
+
+// forwarder answers by endpoint and notes who was asked.
+type forwarder struct {
+	mu      sync.Mutex
+	asked   []string
+	checked []string
+	answer  func(ctx context.Context, endpoint string) (sesamepitch.Answer, error)
+}
+
+func (f *forwarder) Forward(ctx context.Context, to sesamepitch.Destination, _ sesamepitch.Request) (sesamepitch.Answer, error) {
+	f.mu.Lock()
+	f.asked = append(f.asked, to.ID)
+	f.mu.Unlock()
+	return f.answer(ctx, to.ID)
+}
+
+func (f *forwarder) Stream(context.Context, sesamepitch.Destination, sesamepitch.Request, sesamepitch.StreamSink) error {
+	return errors.New("not used")
+}
+
+func (f *forwarder) KeptFor(sesamepitch.Destination) time.Duration { return 2 * time.Second }
+
+func (f *forwarder) Check(_ context.Context, to sesamepitch.Destination, _, _ string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.checked = append(f.checked, to.ID)
+	return nil
+}
+
+type meter struct{ counted int }
+
+func (m *meter) Count(string, time.Time) { m.counted++ }
+
+func newGateway(forward *forwarder, counts *meter, endpoints ...string) *Gateway {
+	clock := sesamepitch.SystemClock{}
+	known := registry.New(clock, decoder{})
+	known.ApplyOperators([]sesamepitch.Row{{Key: "op//config", Version: 1}}, true)
+	var rows []sesamepitch.Row
+	for i, id := range endpoints {
+		centre := "near"
+		if i > 0 {
+			centre = "far"
+		}
+		rows = append(rows, sesamepitch.Row{Key: "servers//" + id, Value: []byte(centre), Version: 1})
+	}
+	known.ApplyEndpoints(rows, true, time.Time{})
+	return New(clock, logr.Discard(), known, forward, batch.NewLedger(clock, standin.NewMemory()), counts, "near", "here")
+}
+
+func failed(kind sesamepitch.Kind) (sesamepitch.Answer, error) {
+	return sesamepitch.Answer{}, &Error{Op: "test", Kind: kind}
+}
+
+func answered(status int) (sesamepitch.Answer, error) {
+	return sesamepitch.Answer{Status: status}, nil
+}
+
+// TestTries has what follows from each outcome of the first try: whether the
+// request goes to another endpoint, and what is said of it in the end.
+func TestTries(t *testing.T) {
+	cases := []struct {
+		name  string
+		route string
+		// first is what the first endpoint does, the others answer 200 unless
+		// all do it.
+		first  func(ctx context.Context) (sesamepitch.Answer, error)
+		all    bool
+		asked  int
+		status int
+		kind   sesamepitch.Kind
+	}{
+		{"answered", "/safe/", func(context.Context) (sesamepitch.Answer, error) { return answered(200) }, false, 1, 200, ""},
+		{"not found by the endpoint", "/safe/", func(context.Context) (sesamepitch.Answer, error) { return answered(404) }, false, 1, 404, ""},
+		{"failed, may be repeated", "/safe/", func(context.Context) (sesamepitch.Answer, error) { return answered(500) }, false, 2, 200, ""},
+		{"failed, runs once at most", "/once/", func(context.Context) (sesamepitch.Answer, error) { return answered(500) }, false, 1, 500, ""},
+		{"all fail: the endpoint's own failure is handed on", "/safe/", func(context.Context) (sesamepitch.Answer, error) { return answered(500) }, true, 2, 500, ""},
+		{"answer lost, may be repeated", "/safe/", func(context.Context) (sesamepitch.Answer, error) { return failed(sesamepitch.KindUnknown) }, false, 2, 200, ""},
+		{"answer lost, runs once at most", "/once/", func(context.Context) (sesamepitch.Answer, error) { return failed(sesamepitch.KindUnknown) }, false, 1, 0, sesamepitch.KindUnknown},
+		{"not sent, runs once at most", "/once/", func(context.Context) (sesamepitch.Answer, error) { return failed(sesamepitch.KindUnavailable) }, false, 2, 200, ""},
+		{"not run, runs once at most", "/once/", func(context.Context) (sesamepitch.Answer, error) { return failed(sesamepitch.KindOverloaded) }, false, 2, 200, ""},
+		{"none reached: surely not run", "/once/", func(context.Context) (sesamepitch.Answer, error) { return failed(sesamepitch.KindUnavailable) }, true, 3, 0, sesamepitch.KindUnavailable},
+		{"all full: surely not run", "/safe/", func(context.Context) (sesamepitch.Answer, error) { return failed(sesamepitch.KindOverloaded) }, true, 2, 0, sesamepitch.KindUnavailable},
+		{"silent: another one answers in time", "/safe/", func(ctx context.Context) (sesamepitch.Answer, error) {
+			<-ctx.Done()
+			return failed(sesamepitch.KindTimeout)
+		}, false, 2, 200, ""},
+		{"silent, runs once at most: the answer comes at the route's time", "/once/", func(ctx context.Context) (sesamepitch.Answer, error) {
+			<-ctx.Done()
+			return failed(sesamepitch.KindTimeout)
+		}, false, 1, 0, sesamepitch.KindTimeout},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			forward := &forwarder{}
+			first := ""
+			forward.answer = func(ctx context.Context, endpoint string) (sesamepitch.Answer, error) {
+				forward.mu.Lock()
+				if first == "" {
+					first = endpoint
+				}
+				isFirst := endpoint == first || c.all
+				forward.mu.Unlock()
+				if isFirst {
+					return c.first(ctx)
+				}
+				return answered(200)
+			}
+			g := newGateway(forward, &meter{}, "a", "b", "c")
+			admission, err := g.Admit("h", c.route+"x", "k")
+			assert.NilError(t, err)
+			start := time.Now()
+			answer, err := g.Serve(context.Background(), admission, sesamepitch.Request{ID: "r", Deadline: start.Add(time.Minute)})
+			assert.Equal(t, len(forward.asked), c.asked, "%v", forward.asked)
+			assert.Equal(t, answer.Status, c.status)
+			assert.Equal(t, sesamepitch.KindOf(err), c.kind, "%v", err)
+			assert.Assert(t, time.Since(start) < 700*time.Millisecond, "the final answer comes by the route's time")
+			var refusal *Refusal
+			if errors.As(err, &refusal) && refusal.Kind == sesamepitch.KindUnavailable {
+				assert.Assert(t, refusal.After > 0, "a refusal says when to come back")
+			}
+		})
+	}
+}
+
+func TestAdmit(t *testing.T) {
+	counts := &meter{}
+	forward := &forwarder{answer: func(context.Context, string) (sesamepitch.Answer, error) { return answered(http.StatusOK) }}
+	g := newGateway(forward, counts, "a")
+	cases := []struct {
+		name, host, path, key string
+		kind                  sesamepitch.Kind
+	}{
+		{"served", "h", "/safe/1", "k", ""},
+		{"unknown host", "x", "/safe/1", "k", sesamepitch.KindNotFound},
+		{"unknown path", "h", "/other/1", "k", sesamepitch.KindNotFound},
+		{"unknown key", "h", "/safe/1", "z", sesamepitch.KindDenied},
+	}
+	for _, c := range cases {
+		_, err := g.Admit(c.host, c.path, c.key)
+		assert.Equal(t, sesamepitch.KindOf(err), c.kind, c.name)
+	}
+	admission, err := g.Admit("h", "/safe/1", "k")
+	assert.NilError(t, err)
+	_, err = g.Serve(context.Background(), admission, sesamepitch.Request{ID: "r"})
+	assert.NilError(t, err)
+	assert.Equal(t, counts.counted, 1)
+
+	far, err := g.Admit("h", "/far/1", "k")
+	assert.NilError(t, err)
+	_, err = g.Serve(context.Background(), far, sesamepitch.Request{ID: "r"})
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindUnavailable, "not in this region")
+
+	empty := New(sesamepitch.SystemClock{}, logr.Discard(), registry.New(sesamepitch.SystemClock{}, decoder{}), forward, nil, counts, "near", "here")
+	_, err = empty.Admit("h", "/safe/1", "k")
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindUnavailable, "without a configuration nothing is denied")
+	assert.Assert(t, !empty.Ready())
+}
+
+// TestPick prefers a kept connection that is free, then a near endpoint with
+// little to do; a suspect one is the last choice.
+func TestPick(t *testing.T) {
+	endpoint := func(id string) registry.Endpoint { return registry.Endpoint{ID: id, Slots: 6} }
+	cases := []struct {
+		name       string
+		candidates []candidate
+		want       string
+	}{
+		{"kept connection", []candidate{{endpoint: endpoint("a"), near: true}, {endpoint: endpoint("b"), warm: true}}, "b"},
+		{"kept connection in use", []candidate{{endpoint: endpoint("a"), near: true}, {endpoint: endpoint("b"), warm: true, running: 1}}, "a"},
+		{"near", []candidate{{endpoint: endpoint("a")}, {endpoint: endpoint("b"), near: true}}, "b"},
+		{"less to do", []candidate{{endpoint: endpoint("a"), near: true, running: 3}, {endpoint: endpoint("b"), running: 1}}, "b"},
+		{"suspect", []candidate{{endpoint: endpoint("a"), warm: true, near: true, suspect: true}, {endpoint: endpoint("b"), running: 5}}, "b"},
+		{"warm rather than cold", []candidate{{endpoint: endpoint("a"), near: true, cold: true}, {endpoint: endpoint("b")}}, "b"},
+		{"only a suspect one", []candidate{{endpoint: endpoint("a"), suspect: true}}, "a"},
+	}
+	for _, c := range cases {
+		best, found := pick(c.candidates)
+		assert.Assert(t, found)
+		assert.Equal(t, best.endpoint.ID, c.want, c.name)
+	}
+	_, found := pick(nil)
+	assert.Assert(t, !found)
+}
+
+// TestKeepConnections checks the endpoint used last before its connection
+// would be closed, and only if it has served a request.
+func TestKeepConnections(t *testing.T) {
+	forward := &forwarder{answer: func(context.Context, string) (sesamepitch.Answer, error) { return answered(http.StatusOK) }}
+	g := newGateway(forward, &meter{}, "a", "b")
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- g.KeepConnections(ctx) }()
+	admission, err := g.Admit("h", "/safe/1", "k")
+	assert.NilError(t, err)
+	_, err = g.Serve(ctx, admission, sesamepitch.Request{ID: "r"})
+	assert.NilError(t, err)
+	time.Sleep(4500 * time.Millisecond)
+	cancel()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+	forward.mu.Lock()
+	defer forward.mu.Unlock()
+	assert.Assert(t, len(forward.checked) >= 2, "checks %v", forward.checked)
+	for _, id := range forward.checked {
+		assert.Equal(t, id, forward.asked[0])
+	}
+}
--- a/src/gateway/keep.go
+++ b/src/gateway/keep.go
@@ -11,7 +11,7 @@
 const (
 	// keepEvery is the time between looks at kept connections.
 	keepEvery = 500 * time.Millisecond
-	// keepShare of a connection's idle time passes before a check uses it.
+	// keepShare of a connection's idle time may pass before a check uses it.
 	keepShare = 0.8
 	// keepAfterUse is how long after the last request a connection is kept.
 	keepAfterUse = 2 * time.Minute
@@ -60,7 +60,8 @@
 		return newest, false
 	}
 	idle, kept := now.Sub(newestAt), g.forward.KeptFor(destination(newest))
-	return newest, idle < kept && idle > time.Duration(keepShare*float64(kept))
+	latest := time.Duration(keepShare * float64(kept))
+	return newest, idle < kept && idle+keepEvery > latest
 }
 
 func (g *Gateway) check(ctx context.Context, endpoint registry.Endpoint, path string) {
