--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -147,7 +147,7 @@
 func (l *loader) carryOut(ctx context.Context, s *session, e *engine, to sesamepitch.Destination, order load, after int64) bool {
 	started := l.clock.Now()
 	sentAt := time.Time{}
-	accepted := false
+	accepted, busy := false, false
 	if after == unknownOrders {
 		report, err := l.control.Report(ctx, to)
 		if err != nil {
@@ -158,7 +158,7 @@
 		after = report.Orders
 	}
 	for l.clock.Now().Sub(started) < loadLimit && ctx.Err() == nil {
-		if !accepted && (sentAt.IsZero() || l.clock.Now().Sub(sentAt) > orderAgain) {
+		if !accepted && !busy && (sentAt.IsZero() || l.clock.Now().Sub(sentAt) > orderAgain) {
 			if !l.mayOrder() {
 				return false
 			}
@@ -190,6 +190,7 @@
 			continue
 		}
 		s.learnReport(e, report)
+		busy = report.Busy
 		if report.Versions[order.model] >= order.version {
 			l.log.Info("weights loaded", "engine", to.ID, "model", order.model, "version", order.version, "by", "report",
 				"ms", l.clock.Now().Sub(started).Milliseconds())
