Invariants are checked inside the program, counted and logged

Configuration never older, orders under the lease, versions of results, one result for an item, rate of cold engines, refusals that say 'not run', frozen usage.

--- a/src/billing/reporter.go
+++ b/src/billing/reporter.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"time"
 
 	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/invariant"
 	"sesamepitch/src/rowstore"
 
 	"github.com/go-logr/logr"
@@ -39,16 +41,31 @@
 	instance string
 	length   time.Duration
 	late     time.Duration
+	// sent are the figures of each window as they were first sent.
+	sent     map[int64]map[string]int64
 	reported map[int64]bool
+	checks   *invariant.Recorder
+}
+
+// Option changes a Reporter.
+type Option func(*Reporter)
+
+// WithChecks notes violated invariants.
+func WithChecks(checks *invariant.Recorder) Option {
+	return func(r *Reporter) { r.checks = checks }
 }
 
 // NewReporter returns a reporter of windows of a length, whose reports are due
 // late after a window's end.
-func NewReporter(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, duties sesamepitch.Duties, lease Authority, instance string, length, late time.Duration) *Reporter {
-	return &Reporter{
+func NewReporter(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, duties sesamepitch.Duties, lease Authority, instance string, length, late time.Duration, options ...Option) *Reporter {
+	r := &Reporter{
 		clock: clock, log: log, table: table, duties: duties, lease: lease, instance: instance,
-		length: length, late: late, reported: map[int64]bool{},
+		length: length, late: late, sent: map[int64]map[string]int64{}, reported: map[int64]bool{},
+	}
+	for _, option := range options {
+		option(r)
 	}
+	return r
 }
 
 // Run reports windows until ctx ends.
@@ -78,8 +95,9 @@
 			return
 		}
 	}
-	for window := range r.reported {
+	for window := range r.sent {
 		if window < oldest {
+			delete(r.sent, window)
 			delete(r.reported, window)
 		}
 	}
@@ -99,6 +117,9 @@
 	if !held {
 		return nil
 	}
+	before, again := r.sent[window]
+	r.checks.Check(!again || maps.Equal(before, counts), invariant.UsageFrozen, "window", window, "before", before, "now", counts)
+	r.sent[window] = counts
 	err = r.duties.ReportWindow(ctx, sesamepitch.WindowUsage{Window: window, Counts: counts, Holder: r.instance, Fence: epoch})
 	if err != nil {
 		return err
--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -6,6 +6,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
+	"sesamepitch/src/invariant"
 	"sesamepitch/src/lease"
 	"sesamepitch/src/registry"
 
@@ -48,6 +49,7 @@
 	lease    *lease.Lease
 	instance string
 	strong   func() bool
+	checks   *invariant.Recorder
 	leaving  chan struct{}
 	// weakSince is since when a better suited instance has been known while this
 	// one drives; until restUntil this one takes no part in the lease.
@@ -55,13 +57,25 @@
 	restUntil time.Time
 }
 
+// Option changes a Driver.
+type Option func(*Driver)
+
+// WithChecks notes violated invariants.
+func WithChecks(checks *invariant.Recorder) Option {
+	return func(d *Driver) { d.checks = checks }
+}
+
 // New returns a driver for an instance; strong tells whether no other instance
 // is better suited.
-func New(clock sesamepitch.Clock, log logr.Logger, store sesamepitch.Store, ledger *batch.Ledger, known *registry.Registry, engines sesamepitch.Engines, control sesamepitch.EngineControl, l *lease.Lease, instance string, strong func() bool) *Driver {
-	return &Driver{
+func New(clock sesamepitch.Clock, log logr.Logger, store sesamepitch.Store, ledger *batch.Ledger, known *registry.Registry, engines sesamepitch.Engines, control sesamepitch.EngineControl, l *lease.Lease, instance string, strong func() bool, options ...Option) *Driver {
+	d := &Driver{
 		clock: clock, log: log, store: store, ledger: ledger, registry: known, engines: engines, control: control,
 		lease: l, instance: instance, strong: strong, leaving: make(chan struct{}),
 	}
+	for _, option := range options {
+		option(d)
+	}
+	return d
 }
 
 // Leave makes the driver give the lease up and take no part in it any more.
@@ -183,8 +197,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
 		clock: d.clock, log: d.log, ledger: d.ledger, registry: d.registry, engines: d.engines,
-		loader: newLoader(d.clock, d.log, d.control, d.lease, d.instance, epoch),
-		holder: d.instance, epoch: epoch, wake: make(chan struct{}, 1),
+		loader: newLoader(d.clock, d.log, d.control, d.lease, d.instance, epoch, d.checks),
+		checks: d.checks, holder: d.instance, epoch: epoch, wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, states: map[string]*engine{}, home: map[string]string{}, behind: map[string]int64{},
 		carry: newCarry(), adopted: map[string]bool{}, over: map[string]bool{},
 	}
--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -60,6 +60,9 @@
 	paces int
 	// coldFrom is when the next item may go to the engine while it is cold.
 	coldFrom time.Time
+	// coldSent are the times of the items sent to it while cold, of the last
+	// second.
+	coldSent []time.Time
 	// prompts are the groups whose prompt it has read, newest last.
 	prompts []string
 }
--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -8,6 +8,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
+	"sesamepitch/src/invariant"
 )
 
 const (
@@ -141,10 +142,14 @@
 
 // finish puts a task's result in line for the table; it needs s.mu.
 func (s *session) finish(t *task, result batch.Result) {
+	s.checks.Check(!t.finished, invariant.ResultOnce, "job", t.job.ID, "item", t.item.ID)
 	if t.finished {
 		return
 	}
 	t.finished = true
+	known := text{versions: result.Versions}
+	s.checks.Check(known.allowed(t.job.MinVersion, t.job.single), invariant.ResultVersions,
+		"job", t.job.ID, "item", t.item.ID, "versions", result.Versions, "min_version", t.job.MinVersion)
 	if t.job.ended {
 		return
 	}
--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/invariant"
 
 	"github.com/go-logr/logr"
 )
@@ -47,6 +48,7 @@
 	lease   Authority
 	holder  string
 	epoch   int64
+	checks  *invariant.Recorder
 
 	mu sync.Mutex
 	// loads counts the orders by model and version.
@@ -72,8 +74,8 @@
 	return l.usual
 }
 
-func newLoader(clock sesamepitch.Clock, log logr.Logger, control sesamepitch.EngineControl, lease Authority, holder string, epoch int64) *loader {
-	return &loader{clock: clock, log: log, control: control, lease: lease, holder: holder, epoch: epoch, loads: map[load]int{}, usual: firstUsual}
+func newLoader(clock sesamepitch.Clock, log logr.Logger, control sesamepitch.EngineControl, lease Authority, holder string, epoch int64, checks *invariant.Recorder) *loader {
+	return &loader{clock: clock, log: log, control: control, lease: lease, holder: holder, epoch: epoch, checks: checks, loads: map[load]int{}, usual: firstUsual}
 }
 
 // counts returns how many loads of each model's named version were ordered.
@@ -163,6 +165,8 @@
 				return false
 			}
 			sentAt = l.clock.Now()
+			_, until, _ := l.lease.Held()
+			l.checks.Check(l.clock.Now().Before(until), invariant.OrderUnderLease, "engine", to.ID, "fence", l.epoch, "until", until)
 			holds, err := l.send(ctx, to, order, after)
 			if holds {
 				return true
@@ -210,6 +214,8 @@
 
 // send sends an order once.
 func (l *loader) send(ctx context.Context, to sesamepitch.Destination, order load, after int64) (bool, error) {
+	_, until, _ := l.lease.Held()
+	l.checks.Check(l.clock.Now().Before(until), invariant.OrderUnderLease, "engine", to.ID, "fence", l.epoch, "until", until)
 	holds, err := l.control.Order(ctx, to, sesamepitch.WeightOrder{
 		Model: order.model, Version: order.version, Holder: l.holder, Fence: l.epoch, After: after,
 	})
--- a/src/driver/run.go
+++ b/src/driver/run.go
@@ -51,7 +51,7 @@
 	}
 	e.readPrompt(t.item.Group)
 	if now.Before(e.entry.ColdUntil) {
-		e.coldFrom = now.Add(s.coldPause(e))
+		s.sendCold(e, now)
 	}
 	s.log.Info("item placed", "job", t.job.ID, "item", t.item.ID, "group", t.item.Group, "engine", e.entry.ID,
 		"engine_row", e.entry.Revision, "running", e.running, "version", e.versions[t.job.Model],
@@ -160,6 +160,9 @@
 		t.release()
 	}
 	t.waitSince = now
+	if t.finished {
+		return // the job ended or gave the item up meanwhile
+	}
 	if errors.Is(err, sesamepitch.ErrComplete) {
 		s.log.Info("item done", "job", t.job.ID, "item", t.item.ID, "engine", r.engine.entry.ID, "events", len(t.text.events),
 			"ms", now.Sub(r.started).Milliseconds())
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
+	"sesamepitch/src/invariant"
 	"sesamepitch/src/registry"
 
 	"github.com/go-logr/logr"
@@ -37,6 +39,7 @@
 	registry *registry.Registry
 	engines  sesamepitch.Engines
 	loader   *loader
+	checks   *invariant.Recorder
 	holder   string
 	epoch    int64
 	wake     chan struct{}
@@ -253,12 +256,25 @@
 	return max(route.MaxAttempts, 1)
 }
 
-func (s *session) coldPause(e *engine) time.Duration {
+// coldRate is how many items a second a cold engine bears, zero for no limit.
+func (s *session) coldRate(e *engine) float64 {
 	config := s.registry.Config()
-	if config == nil || config.Services[e.entry.Service].ColdRate <= 0 {
+	if config == nil {
 		return 0
 	}
-	return time.Duration(float64(time.Second) / config.Services[e.entry.Service].ColdRate)
+	return config.Services[e.entry.Service].ColdRate
+}
+
+// sendCold notes an item for a cold engine and when the next one may go.
+func (s *session) sendCold(e *engine, now time.Time) {
+	rate := s.coldRate(e)
+	if rate <= 0 {
+		return
+	}
+	e.coldFrom = now.Add(time.Duration(float64(time.Second) / rate))
+	e.coldSent = slices.DeleteFunc(e.coldSent, func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	e.coldSent = append(e.coldSent, now)
+	s.checks.Check(float64(len(e.coldSent)) <= rate+1, invariant.ColdRate, "engine", e.entry.ID, "sent", len(e.coldSent), "rate", rate)
 }
 
 // place starts waiting tasks, the most urgent first.
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
+	"sesamepitch/src/invariant"
 	"sesamepitch/src/registry"
 
 	"github.com/go-logr/logr"
@@ -58,17 +59,30 @@
 	meter    Meter
 	centre   string
 	region   string
+	checks   *invariant.Recorder
 
 	mu    sync.Mutex
 	loads map[string]*load
 }
 
+// Option changes a gateway.
+type Option func(*Gateway)
+
+// WithChecks notes violated invariants.
+func WithChecks(checks *invariant.Recorder) Option {
+	return func(g *Gateway) { g.checks = checks }
+}
+
 // New returns a gateway of an instance in a data centre of a region.
-func New(clock sesamepitch.Clock, log logr.Logger, known *registry.Registry, forward sesamepitch.Forwarder, ledger *batch.Ledger, meter Meter, centre, region string) *Gateway {
-	return &Gateway{
+func New(clock sesamepitch.Clock, log logr.Logger, known *registry.Registry, forward sesamepitch.Forwarder, ledger *batch.Ledger, meter Meter, centre, region string, options ...Option) *Gateway {
+	g := &Gateway{
 		clock: clock, log: log, registry: known, forward: forward, ledger: ledger, meter: meter,
 		centre: centre, region: region, loads: map[string]*load{},
 	}
+	for _, option := range options {
+		option(g)
+	}
+	return g
 }
 
 // Refusal is why a request gets no endpoint's answer. Its kind says whether
@@ -190,6 +204,8 @@
 		"status", status,
 	}
 	if err != nil {
+		notRun := sesamepitch.KindOf(err) == sesamepitch.KindUnavailable
+		g.checks.Check(!notRun || !r.mayHaveRun, invariant.RefusalTrue, "request", r.request.ID, "tries", r.sent)
 		fields = append(fields, "kind", string(sesamepitch.KindOf(err)), "cause", err.Error())
 	}
 	g.log.Info("request", fields...)
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -20,6 +20,7 @@
 	"sesamepitch/src/driver"
 	"sesamepitch/src/eventlog"
 	"sesamepitch/src/gateway"
+	"sesamepitch/src/invariant"
 	"sesamepitch/src/lease"
 	"sesamepitch/src/peer"
 	"sesamepitch/src/registry"
@@ -89,6 +90,7 @@
 	meter    *billing.Meter
 	reporter *billing.Reporter
 	metrics  *metrics
+	checks   *invariant.Recorder
 	memory   *Memory
 	leaving  atomic.Bool
 	// isolated is set while neither the store nor another data centre answers.
@@ -110,6 +112,7 @@
 	// connection logs what that means to it.
 	log.SetOutput(io.Discard)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	i.checks = invariant.New(i.log)
 	i.registry = registry.New(clock, adapter.Decoder)
 	i.store = relay.New(clock, i.log, adapter.Store, i.peers, func() []string { return i.members.Peers() })
 	i.members = registry.NewMembers(clock, i.log, i.store, settings.Instance, settings.Centre, settings.Peers, settings.Cores, settings.Seeds)
@@ -126,11 +129,11 @@
 	ledger := batch.NewLedger(i.clock, i.store)
 	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers)
 	guard := lease.Guard(i.lease, s.Source)
-	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.lease, s.Instance, i.members.IsStrong)
+	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.lease, s.Instance, i.members.IsStrong, driver.WithChecks(i.checks))
 	writer := s.Instance + "@" + i.clock.Now().Format("150405.000")
 	i.meter = billing.NewMeter(i.clock, i.log, i.store, s.Bounds.ReportWindow, writer)
-	i.reporter = billing.NewReporter(i.clock, i.log, i.store, i.adapter.Duties(guard), i.lease, s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate)
-	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region)
+	i.reporter = billing.NewReporter(i.clock, i.log, i.store, i.adapter.Duties(guard), i.lease, s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate, billing.WithChecks(i.checks))
+	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks))
 	i.metrics = newMetrics(i)
 }
 
@@ -172,7 +175,9 @@
 	for _, fault := range i.registry.ApplyOperators(update.Rows, update.Whole) {
 		i.log.Info("operators' row is unreadable", "cause", fault.Error())
 	}
-	if after := i.configVersion(); after != before {
+	after := i.configVersion()
+	i.checks.Check(after >= before, invariant.ConfigNeverOlder, "version", after, "before", before)
+	if after != before {
 		i.log.Info("configuration in force", "version", after, "before", before)
 	}
 }
--- a/src/instance/metrics.go
+++ b/src/instance/metrics.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"sesamepitch/src/invariant"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -39,6 +41,12 @@
 	m.gauge("sesamepitch_endpoints", "Endpoints known.", func() float64 { return float64(len(i.registry.All())) })
 	m.gauge("sesamepitch_body_bytes", "Bytes of callers' bodies held.", func() float64 { return float64(i.memory.Held()) })
 	m.gauge("sesamepitch_log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(i.lines.Dropped()) })
+	for _, name := range invariant.Names {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "sesamepitch_invariant_violations_total", Help: "Defects of this program, by invariant.",
+			ConstLabels: prometheus.Labels{"invariant": name},
+		}, func() float64 { return float64(i.checks.Violations()[name]) }))
+	}
 	return m
 }
 
