--- a/src/driver/adopt.go
+++ b/src/driver/adopt.go
@@ -120,11 +120,11 @@
 		if t.finished {
 			continue
 		}
-		whole := s.recall(t, earlier.texts[i])
+		t.whole = s.recall(t, earlier.texts[i])
 		if len(t.text.events) > 0 {
 			known++
 		}
-		if whole {
+		if t.whole {
 			s.finish(t, t.result())
 		}
 	}
@@ -179,6 +179,7 @@
 		return
 	}
 	delete(s.jobs, id)
+	s.carry.keepOpenGroups(j, s.clock.Now())
 	open := 0
 	for _, t := range j.tasks {
 		if t.finished {
@@ -186,9 +187,6 @@
 		}
 		open++
 		t.finished = true
-		if t.run == nil {
-			s.carry.keep(t, false, s.clock.Now())
-		}
 		s.abandon(t)
 	}
 	j.ended = true
--- a/src/driver/carry.go
+++ b/src/driver/carry.go
@@ -21,11 +21,27 @@
 
 func newCarry() *carry { return &carry{texts: map[carryKey]carried{}} }
 
-func (c *carry) keep(t *task, whole bool, now time.Time) {
-	if len(t.text.events) == 0 {
-		return
+// keep takes over a task's text.
+func (c *carry) keep(t *task, now time.Time) {
+	if len(t.text.events) > 0 {
+		c.texts[keyOf(t)] = carried{text: t.text, whole: t.whole, at: now}
+	}
+}
+
+// keepOpenGroups takes over the texts of a job's groups that are not complete:
+// only those come again.
+func (c *carry) keepOpenGroups(j *job, now time.Time) {
+	open := map[string]bool{}
+	for _, t := range j.tasks {
+		if !t.finished {
+			open[t.item.Group] = true
+		}
+	}
+	for _, t := range j.tasks {
+		if open[t.item.Group] {
+			c.keep(t, now)
+		}
 	}
-	c.texts[keyOf(t)] = carried{text: t.text, whole: whole, at: now}
 }
 
 // take returns what is known of a task's text, if its job allows the versions.
--- a/src/driver/run.go
+++ b/src/driver/run.go
@@ -166,7 +166,7 @@
 	if errors.Is(err, sesamepitch.ErrComplete) {
 		s.log.Info("item done", "job", t.job.ID, "item", t.item.ID, "engine", r.engine.entry.ID, "events", len(t.text.events),
 			"ms", now.Sub(r.started).Milliseconds())
-		s.carry.keep(t, true, now)
+		t.whole = true
 		s.finish(t, t.result())
 		return
 	}
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -225,7 +225,6 @@
 // abandon ends a task's run for good.
 func (s *session) abandon(t *task) {
 	if t.run != nil {
-		s.carry.keep(t, false, s.clock.Now())
 		s.stop(t.run, "job is over")
 	}
 }
--- a/src/driver/task.go
+++ b/src/driver/task.go
@@ -46,6 +46,8 @@
 	movedAt   time.Time
 	waitSince time.Time
 	finished  bool
+	// whole is set once the text has its last event.
+	whole bool
 }
 
 // reserve keeps a place at an engine for the task's next run.
