The driver looks less often at what is finished

Each item that ended made a whole step: all tasks of all jobs, all engines, the plan of weights.

Change: steps are 8 ms apart at least; all but placement runs once in 50 ms; finished tasks are left out.

--- a/src/driver/adopt.go
+++ b/src/driver/adopt.go
@@ -120,6 +120,7 @@
 		if t.finished {
 			continue
 		}
+		j.open = append(j.open, t)
 		t.whole = s.recall(t, earlier.texts[i])
 		if len(t.text.events) > 0 {
 			known++
--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -23,10 +23,12 @@
 // job is a batch job that this driver has taken over.
 type job struct {
 	batch.Job
-	due     time.Time
-	giveUp  time.Time
-	claim   *batch.Claim
-	tasks   []*task
+	due    time.Time
+	giveUp time.Time
+	claim  *batch.Claim
+	tasks  []*task
+	// open are the tasks without a result or with a run that is about to end.
+	open    []*task
 	single  bool
 	pending []batch.Result
 	// handOver ends the job's commits; what it receives is closed then.
@@ -78,7 +80,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var tasks []*task
-	for _, t := range j.tasks {
+	for _, t := range j.open {
 		if !t.finished && len(t.text.events)-t.kept >= atLeast {
 			tasks = append(tasks, t)
 		}
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -17,6 +17,9 @@
 const (
 	// tick is the time between looks at what stands still or has become due.
 	tick = 50 * time.Millisecond
+	// pause is the least time between two steps, so that many items that end at
+	// once cost one.
+	pause = 8 * time.Millisecond
 	// ownDelay is how late a step is when this process was held up.
 	ownDelay = 150 * time.Millisecond
 	// adoptPause is the time between tries to take a job over.
@@ -48,11 +51,13 @@
 	mu sync.Mutex
 	// steppedAt is the time of the last step.
 	steppedAt time.Time
-	jobs      map[string]*job
-	states    map[string]*engine
-	home      map[string]string
-	behind    map[string]int64
-	carry     *carry
+	// tickedAt is the time of the last step that did more than place items.
+	tickedAt time.Time
+	jobs     map[string]*job
+	states   map[string]*engine
+	home     map[string]string
+	behind   map[string]int64
+	carry    *carry
 	// leaving is set once texts are kept for the next driver.
 	leaving bool
 	// adopted are the jobs that were taken over or ended, over those that ended.
@@ -64,10 +69,13 @@
 func (s *session) run(ctx context.Context) {
 	for {
 		s.step(ctx)
-		changed := s.registry.Changed()
+		select {
+		case <-s.clock.After(pause):
+		case <-ctx.Done():
+			return
+		}
 		select {
 		case <-s.wake:
-		case <-changed:
 		case <-s.clock.After(tick):
 		case <-ctx.Done():
 			return
@@ -82,7 +90,8 @@
 	}
 }
 
-// step brings everything in line with the present.
+// step brings everything in line with the present: placements each time, the
+// rest once a tick.
 func (s *session) step(ctx context.Context) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,19 +100,30 @@
 	}
 	now := s.clock.Now()
 	s.forgiveOwnDelay(now)
-	s.syncEngines()
-	s.endStalled(now)
-	s.migrate(now)
-	s.giveUpDue(now)
+	s.pruneTasks()
+	if now.Sub(s.tickedAt) >= tick {
+		s.tickedAt = now
+		s.syncEngines()
+		s.endStalled(now)
+		s.migrate(now)
+		s.giveUpDue(now)
+		s.orderLoads(ctx, now)
+		s.carry.forget(now)
+	}
 	s.place(ctx, now)
-	s.orderLoads(ctx, now)
-	s.carry.forget(now)
+}
+
+// pruneTasks drops finished tasks from what each step looks at.
+func (s *session) pruneTasks() {
+	for _, j := range s.jobs {
+		j.open = slices.DeleteFunc(j.open, func(t *task) bool { return t.finished && t.run == nil })
+	}
 }
 
 // forgiveOwnDelay keeps the time in which this process itself stood still from
 // counting as an engine's silence.
 func (s *session) forgiveOwnDelay(now time.Time) {
-	delay := now.Sub(s.steppedAt) - tick
+	delay := now.Sub(s.steppedAt) - tick - pause
 	first := s.steppedAt.IsZero()
 	s.steppedAt = now
 	if first || delay < ownDelay {
@@ -167,7 +187,7 @@
 func (s *session) runningTasks() []*task {
 	var tasks []*task
 	for _, j := range s.jobs {
-		for _, t := range j.tasks {
+		for _, t := range j.open {
 			if t.run != nil {
 				tasks = append(tasks, t)
 			}
@@ -212,7 +232,7 @@
 		if now.Before(j.giveUp) {
 			continue
 		}
-		for _, t := range j.tasks {
+		for _, t := range j.open {
 			if !t.finished {
 				s.log.Info("item given up", "job", j.ID, "item", t.item.ID, "failures", t.failures, "breaks", t.breaks)
 				s.finish(t, t.dead())
@@ -280,7 +300,7 @@
 func (s *session) place(ctx context.Context, now time.Time) {
 	var waiting []*task
 	for _, j := range s.jobs {
-		for _, t := range j.tasks {
+		for _, t := range j.open {
 			if !t.finished && t.run == nil && !now.Before(t.notBefore) {
 				waiting = append(waiting, t)
 			}
@@ -361,7 +381,7 @@
 func (s *session) waitingByModel() map[string]int {
 	waiting := map[string]int{}
 	for _, j := range s.jobs {
-		for _, t := range j.tasks {
+		for _, t := range j.open {
 			if !t.finished && t.run == nil {
 				waiting[j.Model]++
 			}
