Cold endpoints are shared by the number of instances; header limit of the operators; one Authority

Cause: a constant split what a cold endpoint bears among 16 instances; 86 would have sent five times as much, all at once. Found by reading.

Change: the share follows the instances that are known, and the first request comes at a random time within it.

--- a/src/billing/reporter.go
+++ b/src/billing/reporter.go
@@ -23,13 +23,6 @@
 	leaseLead = 700 * time.Millisecond
 )
 
-// Authority tells whether this instance is in charge.
-type Authority interface {
-	// Held returns the fencing number and the end of the lease; ok is false if
-	// this instance does not hold it.
-	Held() (epoch int64, until time.Time, ok bool)
-}
-
 // Reporter reports each window once. The counts are frozen in the table before
 // they are sent, so that each report of a window has the same figures.
 type Reporter struct {
@@ -37,7 +30,7 @@
 	log      logr.Logger
 	table    sesamepitch.Table
 	duties   sesamepitch.Duties
-	lease    Authority
+	lease    sesamepitch.Authority
 	instance string
 	length   time.Duration
 	late     time.Duration
@@ -57,7 +50,7 @@
 
 // NewReporter returns a reporter of windows of a length, whose reports are due
 // late after a window's end.
-func NewReporter(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, duties sesamepitch.Duties, lease Authority, instance string, length, late time.Duration, options ...Option) *Reporter {
+func NewReporter(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, duties sesamepitch.Duties, lease sesamepitch.Authority, instance string, length, late time.Duration, options ...Option) *Reporter {
 	r := &Reporter{
 		clock: clock, log: log, table: table, duties: duties, lease: lease, instance: instance,
 		length: length, late: late, sent: map[int64]map[string]int64{}, reported: map[int64]bool{},
--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -33,19 +33,12 @@
 	leaseLead = 600 * time.Millisecond
 )
 
-// Authority tells whether this instance is in charge.
-type Authority interface {
-	// Held returns the fencing number and the end of the lease; ok is false if
-	// this instance does not hold it.
-	Held() (epoch int64, until time.Time, ok bool)
-}
-
 // loader gives engines orders to load weights and watches them.
 type loader struct {
 	clock   sesamepitch.Clock
 	log     logr.Logger
 	control sesamepitch.EngineControl
-	lease   Authority
+	lease   sesamepitch.Authority
 	holder  string
 	epoch   int64
 	checks  *invariant.Recorder
@@ -74,7 +67,7 @@
 	return l.usual
 }
 
-func newLoader(clock sesamepitch.Clock, log logr.Logger, control sesamepitch.EngineControl, lease Authority, holder string, epoch int64, checks *invariant.Recorder) *loader {
+func newLoader(clock sesamepitch.Clock, log logr.Logger, control sesamepitch.EngineControl, lease sesamepitch.Authority, holder string, epoch int64, checks *invariant.Recorder) *loader {
 	return &loader{clock: clock, log: log, control: control, lease: lease, holder: holder, epoch: epoch, checks: checks, loads: map[load]int{}, usual: firstUsual}
 }
 
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -24,10 +24,6 @@
 	ownDelay = 150 * time.Millisecond
 	// adoptPause is the time between tries to take a job over.
 	adoptPause = 100 * time.Millisecond
-	// movePause is the time between two moves of a text.
-	movePause = time.Second
-	// migrateGain is how much sooner a text must be whole elsewhere to move it.
-	migrateGain = 400 * time.Millisecond
 	// defaultDue is when results of a job are due whose route names no time.
 	defaultDue = 10 * time.Second
 	// defaultGiveUp is when items are given up where the route names no time.
@@ -164,91 +160,6 @@
 	}
 }
 
-// endStalled ends runs whose engine has been silent for too long.
-func (s *session) endStalled(now time.Time) {
-	for _, t := range s.runningTasks() {
-		limit := firstEventTime
-		if t.run.gotEvent {
-			limit = gapTime
-		}
-		if now.Sub(t.run.lastEvent) > limit && t.run.why == "" {
-			t.run.engine.suspectUntil = now.Add(suspectTime)
-			s.stop(t.run, "engine is silent")
-		}
-	}
-}
-
-// stop ends a run from this side; its task goes on with the text so far.
-func (s *session) stop(r *run, why string) {
-	r.why = why
-	r.cancel()
-}
-
-func (s *session) runningTasks() []*task {
-	var tasks []*task
-	for _, j := range s.jobs {
-		for _, t := range j.open {
-			if t.run != nil {
-				tasks = append(tasks, t)
-			}
-		}
-	}
-	return tasks
-}
-
-// migrate moves texts away from engines that are slow or about to leave, while
-// another engine has room.
-func (s *session) migrate(now time.Time) {
-	median := medianPace(s.states)
-	for _, t := range s.runningTasks() {
-		e := t.run.engine
-		leaving := !e.entry.LeavesAt.IsZero() && e.entry.LeavesAt.Sub(now) < t.expectedLeft(max(e.pace, median))
-		if t.run.why != "" || !leaving && !e.isSlow(median) {
-			continue
-		}
-		gain := t.expectedLeft(e.pace) - t.expectedLeft(median)
-		if !leaving && gain < migrateGain {
-			continue
-		}
-		if now.Sub(t.movedAt) < movePause {
-			continue
-		}
-		n := s.needOf(t)
-		n.avoid = e.entry.ID
-		other := choose(s.states, now, n)
-		if other == nil || other == e || other.isSlow(median) {
-			continue
-		}
-		s.stop(t.run, "moved to a faster engine")
-		t.avoid = e.entry.ID
-		t.movedAt = now
-		t.reserve(other)
-	}
-}
-
-// giveUpDue ends the items of jobs whose time is over.
-func (s *session) giveUpDue(now time.Time) {
-	for _, j := range s.jobs {
-		if now.Before(j.giveUp) {
-			continue
-		}
-		for _, t := range j.open {
-			if !t.finished {
-				s.log.Info("item given up", "job", j.ID, "item", t.item.ID, "failures", t.failures, "breaks", t.breaks)
-				s.finish(t, t.dead())
-				s.abandon(t)
-			}
-		}
-	}
-}
-
-// abandon ends a task's run for good.
-func (s *session) abandon(t *task) {
-	if t.run != nil {
-		s.stop(t.run, "job is over")
-	}
-}
-
 // needOf returns what a task asks of an engine. An empty service means that no
 // route allows the task now.
 func (s *session) needOf(t *task) need {
@@ -322,70 +233,3 @@
 		}
 	}
 }
-
-// orderLoads asks for the weights that the plan wants.
-func (s *session) orderLoads(ctx context.Context, now time.Time) {
-	config := s.registry.Config()
-	if config == nil {
-		return
-	}
-	named := s.registry.Versions()
-	for name, service := range config.Services {
-		models := namedModels(service.Models, named)
-		if len(models) == 0 {
-			continue
-		}
-		engines := s.enginesOf(name)
-		s.home = homes(s.home, engines, models)
-		in := planInput{
-			now: now, engines: engines, models: models, named: named, behind: s.behindOf(models),
-			waiting: s.waitingByModel(), loads: s.loader.counts(named),
-		}
-		for _, l := range plan(in, s.home) {
-			s.loader.begin(ctx, s, s.states[l.engine], l)
-		}
-	}
-}
-
-func namedModels(models []string, named map[string]int64) []string {
-	var found []string
-	for _, model := range models {
-		if named[model] > 0 {
-			found = append(found, model)
-		}
-	}
-	return found
-}
-
-func (s *session) enginesOf(service string) map[string]*engine {
-	engines := map[string]*engine{}
-	for id, e := range s.states {
-		if e.entry.Service == service && e.listed {
-			engines[id] = e
-		}
-	}
-	return engines
-}
-
-func (s *session) behindOf(models []string) map[string]int64 {
-	behind := map[string]int64{}
-	for _, model := range models {
-		behind[model] = versionsBehind
-		if known, found := s.behind[model]; found {
-			behind[model] = known
-		}
-	}
-	return behind
-}
-
-func (s *session) waitingByModel() map[string]int {
-	waiting := map[string]int{}
-	for _, j := range s.jobs {
-		for _, t := range j.open {
-			if !t.finished && t.run == nil {
-				waiting[j.Model]++
-			}
-		}
-	}
-	return waiting
-}
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -14,6 +14,8 @@
 	suspectTime = 1500 * time.Millisecond
 	// fullTime is how long an endpoint is avoided after it said it was full.
 	fullTime = 100 * time.Millisecond
+	// coldAgain is how long an endpoint was not seen cold if it is cold anew.
+	coldAgain = 2 * time.Second
 	// newConnectionCost, otherCentreCost and reclaimableCost are added to an
 	// endpoint's load, in units of a full endpoint.
 	newConnectionCost = 0.6
@@ -30,6 +32,8 @@
 	suspectUntil time.Time
 	// coldFrom is when the next request to a cold endpoint may go.
 	coldFrom time.Time
+	// coldSeen is when the endpoint was last seen cold.
+	coldSeen time.Time
 }
 
 // candidate is an endpoint with what decides between candidates.
@@ -89,6 +93,10 @@
 	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
 	now := g.clock.Now()
 	coldRate := g.coldRate(service)
+	coldPause := time.Duration(0)
+	if coldRate > 0 {
+		coldPause = time.Duration(float64(time.Second) * float64(g.instances()) / coldRate)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var candidates []candidate
@@ -98,7 +106,7 @@
 		}
 		known := g.loadOf(endpoint.ID)
 		cold := now.Before(endpoint.ColdUntil) && coldRate > 0
-		if cold && now.Before(known.coldFrom) {
+		if cold && !known.mayGetCold(now, endpoint.ColdUntil, coldPause) {
 			continue
 		}
 		candidates = append(candidates, candidate{
@@ -108,14 +116,22 @@
 	}
 	best, found := pick(candidates)
 	if found && best.cold {
-		g.loadOf(best.endpoint.ID).coldFrom = now.Add(time.Duration(float64(time.Second) * coldInstances / coldRate))
+		g.loadOf(best.endpoint.ID).coldFrom = now.Add(coldPause)
 	}
 	return best.endpoint, found
 }
 
-// coldInstances is the number of instances among which a cold endpoint's
-// bearable rate is split.
-const coldInstances = 16
+// mayGetCold tells whether a cold endpoint may get a request of this instance
+// now. Its share of what the endpoint bears is one request in each pause; the
+// first one comes at a random time within it, so that not all instances send
+// at once.
+func (l *load) mayGetCold(now, coldUntil time.Time, pause time.Duration) bool {
+	if now.Sub(l.coldSeen) > coldAgain {
+		l.coldFrom = now.Add(rand.N(pause + 1))
+	}
+	l.coldSeen = now
+	return !now.Before(l.coldFrom) && now.Before(coldUntil)
+}
 
 func (g *Gateway) coldRate(service string) float64 {
 	config := g.registry.Config()
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -34,13 +34,12 @@
 )
 
 var (
-	errNoConfig    = errors.New("no configuration is known yet")
-	errNoRoute     = errors.New("no route matches")
-	errNoKey       = errors.New("the key is missing or unknown")
-	errNoEndpoint  = errors.New("no endpoint is available")
-	errTimeIsUp    = errors.New("the time is up")
-	errNotRollout  = errors.New("the route takes no batch jobs")
-	errForeignPool = errors.New("the route may not be served in this region")
+	errNoConfig   = errors.New("no configuration is known yet")
+	errNoRoute    = errors.New("no route matches")
+	errNoKey      = errors.New("the key is missing or unknown")
+	errNoEndpoint = errors.New("no endpoint is available")
+	errTimeIsUp   = errors.New("the time is up")
+	errNotRollout = errors.New("the route takes no batch jobs")
 )
 
 // Meter counts requests that began to run.
@@ -60,6 +59,8 @@
 	centre   string
 	region   string
 	checks   *invariant.Recorder
+	// instances returns the number of instances that share what endpoints bear.
+	instances func() int
 
 	mu    sync.Mutex
 	loads map[string]*load
@@ -73,11 +74,18 @@
 	return func(g *Gateway) { g.checks = checks }
 }
 
+// WithInstances tells the gateway how many instances share what cold endpoints
+// bear; without it there is one.
+func WithInstances(instances func() int) Option {
+	return func(g *Gateway) { g.instances = instances }
+}
+
 // New returns a gateway of an instance in a data centre of a region.
 func New(clock sesamepitch.Clock, log logr.Logger, known *registry.Registry, forward sesamepitch.Forwarder, ledger *batch.Ledger, meter Meter, centre, region string, options ...Option) *Gateway {
 	g := &Gateway{
 		clock: clock, log: log, registry: known, forward: forward, ledger: ledger, meter: meter,
 		centre: centre, region: region, loads: map[string]*load{},
+		instances: func() int { return 1 },
 	}
 	for _, option := range options {
 		option(g)
--- a/src/gateway/gateway_test.go
+++ b/src/gateway/gateway_test.go
@@ -251,3 +251,34 @@
 		assert.Equal(t, id, forward.asked[0])
 	}
 }
+
+// TestColdShares replays the return of a cold endpoint that 20 instances see at
+// the same time: together they send no more than it bears, with the slack of
+// one and a half times the rate and five.
+func TestColdShares(t *testing.T) {
+	const instances, rate = 20, 10.0
+	start := time.Now()
+	pause := time.Duration(float64(time.Second) * instances / rate)
+	var sent []time.Time
+	for range instances {
+		known := &load{}
+		for now := start; now.Before(start.Add(6 * time.Second)); now = now.Add(20 * time.Millisecond) {
+			if known.mayGetCold(now, start.Add(time.Hour), pause) {
+				known.coldFrom = now.Add(pause)
+				sent = append(sent, now)
+			}
+		}
+	}
+	most := 0
+	for _, from := range sent {
+		count := 0
+		for _, at := range sent {
+			if !at.Before(from) && at.Sub(from) < time.Second {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	assert.Assert(t, float64(most) <= rate*1.5+5, "%d in a second", most)
+	assert.Assert(t, len(sent) > instances, "%d sent in all", len(sent))
+}
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -34,8 +34,9 @@
 const (
 	readHeaderTime = 5 * time.Second
 	// idleTime is longer than any idle time that operators allow callers.
-	idleTime       = 60 * time.Second
-	maxHeaderBytes = 16 << 10
+	idleTime = 60 * time.Second
+	// maxHeaderBytes is beyond what operators allow; that is checked later.
+	maxHeaderBytes = 1 << 20
 	// balancerTime is how long after SIGTERM new callers may still come.
 	balancerTime = 2600 * time.Millisecond
 	// exitLead is how long before the end of the grace the process ends.
@@ -133,7 +134,7 @@
 	writer := s.Instance + "@" + i.clock.Now().Format("150405.000")
 	i.meter = billing.NewMeter(i.clock, i.log, i.store, s.Bounds.ReportWindow, writer)
 	i.reporter = billing.NewReporter(i.clock, i.log, i.store, i.adapter.Duties(guard), i.lease, s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate, billing.WithChecks(i.checks))
-	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks))
+	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count))
 	i.metrics = newMetrics(i)
 }
 
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -141,6 +141,13 @@
 	Report(ctx context.Context, to Destination) (EngineReport, error)
 }
 
+// Authority tells whether this instance is in charge; a lease is one.
+type Authority interface {
+	// Held returns the fencing number and the end of the lease; ok is false if
+	// this instance does not hold it.
+	Held() (epoch int64, until time.Time, ok bool)
+}
+
 // WindowUsage counts the requests of each workspace that began in one window.
 type WindowUsage struct {
 	// Window is the number of the window since the start of 1970.
