Rows of jobs and windows that nobody reads any more are removed

Cause: results, texts and usage rows were kept for ever (found by reading); the store holds 400 MB of objects and a driver that takes over reads every open row.

Change: the driver removes a job 30 s after its results need not be readable any more, its head last; the reporter removes windows that are long overdue.

--- a/src/batch/batch_test.go
+++ b/src/batch/batch_test.go
@@ -340,3 +340,34 @@
 		t.Run(c.name, func(t *testing.T) { assert.Equal(t, len(c.job.Faults()), c.faults, "%v", c.job.Faults()) })
 	}
 }
+
+// TestRemove leaves no row of a job, also if it stops half way at first, and
+// the other job as it was.
+func TestRemove(t *testing.T) {
+	ctx := context.Background()
+	store := standin.NewMemory()
+	ledger := batch.NewLedger(sesamepitch.SystemClock{}, store)
+	for _, id := range []string{"j", "other"} {
+		assert.NilError(t, ledger.Accept(ctx, jobOf(id, "guild", 4, 10)))
+		claim, err := ledger.Claim(ctx, id, "a", 1)
+		assert.NilError(t, err)
+		result := batch.Result{ID: "item-0", State: batch.Done, Text: "x", Versions: []int64{3}}
+		assert.NilError(t, claim.Append(ctx, []batch.Result{result}, []batch.Progress{{Item: 1, Lineage: 1, Events: []string{"a"}}}))
+	}
+	failOnce(store, "spec/", standin.Refused)
+	assert.Equal(t, sesamepitch.KindOf(ledger.Remove(ctx, "j")), sesamepitch.KindUnavailable)
+	row, err := store.Get(ctx, "open/j/j")
+	assert.NilError(t, err)
+	assert.Assert(t, row.Version > 0, "the head goes last")
+	assert.NilError(t, ledger.Remove(ctx, "j"))
+	_, err = ledger.Head(ctx, "j")
+	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindNotFound)
+	for _, table := range []string{"open/", "spec/", "mark/", "result/", "progress/"} {
+		rows, err := store.List(ctx, table)
+		assert.NilError(t, err)
+		for _, row := range rows {
+			assert.Assert(t, strings.Contains(row.Key, "/other/"), "%s is left", row.Key)
+		}
+		assert.Assert(t, len(rows) > 0)
+	}
+}
--- a/src/batch/heads.go
+++ b/src/batch/heads.go
@@ -1,6 +1,9 @@
 package batch
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // headCache remembers heads of jobs that exist. What readers need of a head
 // never changes, so an entry may be older than the row.
@@ -22,6 +25,13 @@
 	return head, known
 }
 
+func (c *headCache) forget(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.heads, id)
+	c.order = slices.DeleteFunc(c.order, func(known string) bool { return known == id })
+}
+
 func (c *headCache) put(head Head) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/src/billing/reporter.go
+++ b/src/billing/reporter.go
@@ -19,6 +19,9 @@
 	// settleShare of the time until a report is due passes before a window is
 	// frozen, so that the instances have flushed their counts.
 	settleShare = 0.4
+	// removedAtStart is how many windows before those kept a new reporter clears
+	// of rows that its predecessor left.
+	removedAtStart = 20
 	// leaseLead is how long the lease must still last for a report to go.
 	leaseLead = 700 * time.Millisecond
 )
@@ -37,7 +40,9 @@
 	// sent are the figures of each window as they were first sent.
 	sent     map[int64]map[string]int64
 	reported map[int64]bool
-	checks   *invariant.Recorder
+	// removed is the window before which all rows have been removed.
+	removed int64
+	checks  *invariant.Recorder
 }
 
 // Option changes a Reporter.
@@ -88,6 +93,7 @@
 			return
 		}
 	}
+	r.removeOld(ctx, oldest)
 	for window := range r.sent {
 		if window < oldest {
 			delete(r.sent, window)
@@ -96,6 +102,27 @@
 	}
 }
 
+// removeOld removes the rows of one window that has long been overdue.
+func (r *Reporter) removeOld(ctx context.Context, oldest int64) {
+	if _, held := r.authority(); !held || r.removed >= oldest-keptWindows {
+		return
+	}
+	if r.removed == 0 {
+		r.removed = oldest - keptWindows - removedAtStart
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	rows, err := r.table.List(ctx, windowKey(r.removed, ""))
+	if err == nil {
+		err = rowstore.DeleteRows(ctx, r.table, sesamepitch.KeysOf(rows))
+	}
+	if err != nil {
+		r.log.Info("usage rows not removed", "window", r.removed, "cause", err.Error())
+		return
+	}
+	r.removed++
+}
+
 func (r *Reporter) report(ctx context.Context, window int64) error {
 	if _, held := r.authority(); !held {
 		return nil
--- a/src/driver/adopt.go
+++ b/src/driver/adopt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
@@ -13,6 +14,7 @@
 func (s *session) apply(ctx context.Context, update registry.Update) {
 	for _, row := range update.Rows {
 		if row.Deleted {
+			s.forgetHead(row.Key[strings.LastIndexByte(row.Key, '/')+1:])
 			continue
 		}
 		head, err := batch.DecodeHead(row)
@@ -20,6 +22,7 @@
 			s.log.Info("row of an open job is unreadable", "cause", err.Error())
 			continue
 		}
+		s.noteHead(head)
 		if head.Ended {
 			s.endJob(head.ID)
 			continue
--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -25,6 +25,8 @@
 	// long it has to take the lease.
 	yieldAfter = 4 * time.Second
 	yieldRest  = 4 * time.Second
+	// defaultReadable is used where the settings name no time.
+	defaultReadable = 10 * time.Minute
 	// leaseCall bounds one step of the lease.
 	leaseCall = 1500 * time.Millisecond
 )
@@ -50,6 +52,7 @@
 	instance string
 	strong   func() bool
 	checks   *invariant.Recorder
+	readable time.Duration
 	leaving  chan struct{}
 	// weakSince is since when a better suited instance has been known while this
 	// one drives; until restUntil this one takes no part in the lease.
@@ -65,12 +68,18 @@
 	return func(d *Driver) { d.checks = checks }
 }
 
+// WithReadable sets how long results must stay readable after a job's
+// submission.
+func WithReadable(d time.Duration) Option {
+	return func(driver *Driver) { driver.readable = d }
+}
+
 // New returns a driver for an instance; strong tells whether no other instance
 // is better suited.
 func New(clock sesamepitch.Clock, log logr.Logger, store sesamepitch.Store, ledger *batch.Ledger, known *registry.Registry, engines sesamepitch.Engines, control sesamepitch.EngineControl, l *lease.Lease, instance string, strong func() bool, options ...Option) *Driver {
 	d := &Driver{
 		clock: clock, log: log, store: store, ledger: ledger, registry: known, engines: engines, control: control,
-		lease: l, instance: instance, strong: strong, leaving: make(chan struct{}),
+		lease: l, instance: instance, strong: strong, readable: defaultReadable, leaving: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(d)
@@ -200,16 +209,22 @@
 		loader: newLoader(d.clock, d.log, d.control, d.lease, d.instance, epoch, d.checks),
 		checks: d.checks, holder: d.instance, epoch: epoch, wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, states: map[string]*engine{}, home: map[string]string{}, behind: map[string]int64{},
-		carry: newCarry(), adopted: map[string]bool{}, over: map[string]bool{},
+		carry: newCarry(), adopted: map[string]bool{}, over: map[string]bool{}, heads: map[string]batch.Head{}, readable: d.readable,
 	}
 	follower := registry.NewFollower(d.clock, d.log, d.store, batch.OpenTable, func(update registry.Update) { s.apply(ctx, update) })
 	ended := make(chan struct{})
 	followed := make(chan error, 1)
 	go func() { followed <- follower.Run(ctx) }()
+	swept := make(chan struct{})
+	go func() {
+		defer close(swept)
+		s.sweep(ctx)
+	}()
 	go func() {
 		defer close(ended)
 		s.run(ctx)
 		<-followed
+		<-swept
 		s.running.Wait()
 	}()
 	return &active{epoch: epoch, session: s, cancel: cancel, ended: ended}
--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -377,6 +377,28 @@
 	}
 }
 
+// TestOutlivedJob is removed once its results need not be readable any more.
+func TestOutlivedJob(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1)
+	r.drive("a")
+	job := batch.Job{Head: batch.Head{ID: "old", Workspace: "w", Route: "train", Host: "h", Model: "coach", Submitted: time.Now().Add(-time.Hour), Ended: true}}
+	job.Items = []batch.Item{{ID: "x", Path: "/p/1"}}
+	assert.NilError(t, r.ledger.Accept(context.Background(), job))
+	r.submit("new", 1, "y")
+	r.results("new", 1, 5*time.Second)
+	assert.NilError(t, r.ledger.End(context.Background(), "new"))
+	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		row, err := r.store.Get(context.Background(), "open/old/old")
+		assert.NilError(t, err)
+		if row.Version == 0 {
+			r.results("new", 1, time.Second)
+			return
+		}
+	}
+	t.Fatal("the job is still there")
+}
+
 // TestSlots never runs more items at an engine than it has slots for.
 func TestSlots(t *testing.T) {
 	t.Parallel()
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -59,6 +59,10 @@
 	// adopted are the jobs that were taken over or ended, over those that ended.
 	adopted map[string]bool
 	over    map[string]bool
+	// heads are the jobs whose rows there are, readable is how long results must
+	// stay readable after a job's submission.
+	heads    map[string]batch.Head
+	readable time.Duration
 }
 
 // run drives jobs until ctx ends.
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -130,7 +130,7 @@
 	ledger := batch.NewLedger(i.clock, i.store)
 	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers)
 	guard := lease.Guard(i.lease, s.Source)
-	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.lease, s.Instance, i.members.IsStrong, driver.WithChecks(i.checks))
+	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.lease, s.Instance, i.members.IsStrong, driver.WithChecks(i.checks), driver.WithReadable(s.Bounds.Status))
 	writer := s.Instance + "@" + i.clock.Now().Format("150405.000")
 	i.meter = billing.NewMeter(i.clock, i.log, i.store, s.Bounds.ReportWindow, writer)
 	i.reporter = billing.NewReporter(i.clock, i.log, i.store, i.adapter.Duties(guard), i.lease, s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate, billing.WithChecks(i.checks))
--- a/src/rowstore/update.go
+++ b/src/rowstore/update.go
@@ -43,7 +43,7 @@
 }
 
 // deleteAtOnce is how many rows one transaction deletes at most.
-const deleteAtOnce = 128
+const deleteAtOnce = 90
 
 // DeleteRows deletes rows by key, some in each transaction.
 func DeleteRows(ctx context.Context, table sesamepitch.Table, keys []string) error {
