A driver that loses a race for a job to its predecessor tries again

A driver that had been paused claimed a new job at the moment when its successor did, between the successor's read and its commit; the successor took the conflict for a newer driver's and gave the job up for good.

Change: a claim is given up only for a higher epoch. TestClaimRace replays it: 'conflict != unavailable' before. Beside it, found by reading: a place kept for a moving text was lost if its job ended meanwhile (TestAbandonedReservation); items of a split route all went to its first service (TestDrawOf).

--- a/src/batch/batch_test.go
+++ b/src/batch/batch_test.go
@@ -371,3 +371,47 @@
 		assert.Assert(t, len(rows) > 0)
 	}
 }
+
+// racing runs something once between a claim's read and its commit.
+type racing struct {
+	*standin.Memory
+	before func()
+}
+
+func (r *racing) Commit(ctx context.Context, txn sesamepitch.Txn) (int64, error) {
+	if before := r.before; before != nil {
+		r.before = nil
+		before()
+	}
+	return r.Memory.Commit(ctx, txn)
+}
+
+// TestClaimRace replays a driver that was paused and claims a job at the same
+// moment as its successor: the successor must try again, not give the job up.
+func TestClaimRace(t *testing.T) {
+	cases := []struct {
+		name  string
+		epoch int64
+		kind  sesamepitch.Kind
+	}{
+		{"an older driver came first", 2, sesamepitch.KindUnavailable},
+		{"a newer driver came first", 4, sesamepitch.KindConflict},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ctx := context.Background()
+			memory := standin.NewMemory()
+			other := batch.NewLedger(sesamepitch.SystemClock{}, memory)
+			assert.NilError(t, other.Accept(ctx, jobOf("j", "guild", 4, 10)))
+			store := &racing{Memory: memory, before: func() {
+				_, err := other.Claim(ctx, "j", "other", c.epoch)
+				assert.NilError(t, err)
+			}}
+			ledger := batch.NewLedger(sesamepitch.SystemClock{}, store)
+			_, err := ledger.Claim(ctx, "j", "a", 3)
+			assert.Equal(t, sesamepitch.KindOf(err), c.kind, "%v", err)
+			_, err = ledger.Claim(ctx, "j", "a", 3)
+			assert.Equal(t, err == nil, c.kind == sesamepitch.KindUnavailable)
+		})
+	}
+}
--- a/src/batch/results.go
+++ b/src/batch/results.go
@@ -18,7 +18,10 @@
 	pageRows = 200
 )
 
-var errFenced = errors.New("another process has taken the job over")
+var (
+	errFenced    = errors.New("another process has taken the job over")
+	errOvertaken = errors.New("an older driver wrote the mark first")
+)
 
 // Mark is a job's row for whoever appends its results.
 type Mark struct {
@@ -44,7 +47,8 @@
 func (c *Claim) IsFirst() bool { return c.first }
 
 // Claim takes a job over; the former holder's claim ends. KindConflict means
-// that a holder with a higher epoch has it.
+// that a holder with a higher epoch has it; after any other error it must be
+// tried again.
 func (l *Ledger) Claim(ctx context.Context, id, holder string, epoch int64) (*Claim, error) {
 	var mark Mark
 	version, err := rowstore.Read(ctx, l.store, markKey(id), &mark)
@@ -103,9 +107,12 @@
 	if err != nil {
 		return &Error{Op: "batch.commit", Kind: sesamepitch.KindUnknown, Err: err}
 	}
-	if mark != next {
+	if mark.Epoch > next.Epoch {
 		return &Error{Op: "batch.commit", Kind: sesamepitch.KindConflict, Err: errFenced}
 	}
+	if mark != next {
+		return &Error{Op: "batch.commit", Kind: sesamepitch.KindUnavailable, Err: errOvertaken}
+	}
 	c.mark, c.version = mark, version
 	return nil
 }
--- a/src/driver/engine_test.go
+++ b/src/driver/engine_test.go
@@ -315,3 +315,29 @@
 		assert.Equal(t, known.allowed(c.least, c.single), c.allowed, "%v from %d", c.versions, c.least)
 	}
 }
+
+// TestAbandonedReservation gives the place back that was kept for a text whose
+// job ends while it moves.
+func TestAbandonedReservation(t *testing.T) {
+	e := engineAt("e", "dc", nil)
+	moving := &task{}
+	moving.reserve(e)
+	assert.Equal(t, e.running, 1)
+	(&session{}).abandon(moving)
+	assert.Equal(t, e.running, 0)
+	assert.Assert(t, moving.release() == nil)
+}
+
+// TestDrawOf spreads items evenly and always in the same way.
+func TestDrawOf(t *testing.T) {
+	low := 0
+	for i := range 1000 {
+		draw := drawOf(fmt.Sprint("item-", i))
+		assert.Assert(t, draw >= 0 && draw < 1)
+		assert.Equal(t, draw, drawOf(fmt.Sprint("item-", i)))
+		if draw < 0.9 {
+			low++
+		}
+	}
+	assert.Assert(t, low > 850 && low < 950, "%d of 1000 below 0.9", low)
+}
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -11,6 +11,7 @@
 	"sesamepitch/src/invariant"
 	"sesamepitch/src/registry"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 )
 
@@ -173,7 +174,7 @@
 		return n
 	}
 	if route, found := config.Match(t.job.Host, t.item.Path); found {
-		n.service = route.Split[0].Service
+		n.service = route.Pick(drawOf(t.item.ID))
 	}
 	if t.job.single && len(t.text.versions) == 1 {
 		n.exact = t.text.versions[0]
@@ -181,6 +182,13 @@
 	return n
 }
 
+// drawOf spreads items over the services of a split route, each item always to
+// the same one.
+func drawOf(item string) float64 {
+	const bits = 53 // those of a float64's mantissa
+	return float64(xxhash.Sum64String(item)>>(64-bits)) / (1 << bits)
+}
+
 func (s *session) maxAttempts(t *task) int {
 	config := s.registry.Config()
 	if config == nil {
--- a/src/driver/watch.go
+++ b/src/driver/watch.go
@@ -89,6 +89,7 @@
 
 // abandon ends a task's run for good.
 func (s *session) abandon(t *task) {
+	t.release()
 	if t.run != nil {
 		s.stop(t.run, "job is over")
 	}
