The driver wakes by supervisor.Wake

Cause: reading the change again: src/driver wrote the non-blocking send twice that supervisor.Wake already is.

Change: both call it. No behaviour changes; src/driver's tests pass under the race detector, vet, gofumpt and revive are clean.

--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -9,6 +9,7 @@
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 	"sesamepitch/src/invariant"
+	"sesamepitch/src/supervisor"
 )
 
 const (
@@ -156,8 +157,5 @@
 		return
 	}
 	t.job.pending = append(t.job.pending, result)
-	select {
-	case t.job.wake <- struct{}{}:
-	default:
-	}
+	supervisor.Wake(t.job.wake)
 }
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -10,6 +10,7 @@
 	"sesamepitch/src/batch"
 	"sesamepitch/src/invariant"
 	"sesamepitch/src/registry"
+	"sesamepitch/src/supervisor"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
@@ -84,12 +85,7 @@
 	}
 }
 
-func (s *session) wakeUp() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
+func (s *session) wakeUp() { supervisor.Wake(s.wake) }
 
 // step brings everything in line with the present: placements each time, the
 // rest once a tick.
