A text that is whole gives back the place kept for its move

Cause: found by reading, while looking for what blocks a job in TestSoak: a run that is stopped for a move may still end as whole when its last event came just before. The task was finished with its place at the other engine still counted, so that engine had a slot less for as long as the driver knew it.

Ruled out: other ends of a moved run (abandon and place give the place back already).

Change: finish gives the place back, whichever outcome finished the task. TestReservationOfWholeText: 1 running at the other engine before, 0 after. Whether it explains TestSoak is not shown: it takes 24 such races to block all engines of the soak.

--- a/src/driver/engine_test.go
+++ b/src/driver/engine_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 	"sesamepitch/src/registry"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -328,6 +330,22 @@
 	assert.Assert(t, moving.release() == nil)
 }
 
+// TestReservationOfWholeText gives the place back that was kept for a text
+// whose last event came just before the move.
+func TestReservationOfWholeText(t *testing.T) {
+	clock := sesamepitch.SystemClock{}
+	s := &session{clock: clock, log: logr.Discard(), wake: make(chan struct{}, 1)}
+	from, to := engineAt("from", "dc", nil), engineAt("to", "dc", nil)
+	moving := &task{job: &job{wake: make(chan struct{}, 1)}}
+	moving.run = &run{task: moving, engine: from, started: clock.Now(), why: "moved to a faster engine"}
+	from.running++
+	moving.reserve(to)
+	s.end(moving.run, sesamepitch.ErrComplete)
+	assert.Assert(t, moving.finished)
+	assert.Equal(t, from.running, 0)
+	assert.Equal(t, to.running, 0)
+}
+
 // TestDrawOf spreads items evenly and always in the same way.
 func TestDrawOf(t *testing.T) {
 	low := 0
--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -143,13 +143,15 @@
 	}
 }
 
-// finish puts a task's result in line for the table; it needs s.mu.
+// finish puts a task's result in line for the table and gives back the place
+// that was kept for its next run; it needs s.mu.
 func (s *session) finish(t *task, result batch.Result) {
 	s.checks.Check(!t.finished, invariant.ResultOnce, "job", t.job.ID, "item", t.item.ID)
 	if t.finished {
 		return
 	}
 	t.finished = true
+	t.release()
 	known := text{versions: result.Versions}
 	s.checks.Check(known.allowed(t.job.MinVersion, t.job.single), invariant.ResultVersions,
 		"job", t.job.ID, "item", t.item.ID, "versions", result.Versions, "min_version", t.job.MinVersion)
