Weights are ordered for the newest open job, in whatever order jobs are taken over

What the last one allowed (named 8, from version 6) decided which weights were loaded for all: engines with version 6 counted as fresh, none was ordered to load, and the newer job's items (from version 7) waited until somebody submitted another job.

Ruled out: the claim (taken at once), the lease (held all the while), the store (answering), load (it only makes the outage end between two submissions).

Change: the plan asks for the oldest version that serves every open job and the next step; what a job allows is learned from the newest one. TestNeeded has both orders; without the two lines 3 of its 5 cases fail.

--- a/src/driver/adopt.go
+++ b/src/driver/adopt.go
@@ -133,9 +133,7 @@
 		}
 	}
 	s.jobs[j.ID] = j
-	if named := s.registry.Versions()[j.Model]; named >= j.MinVersion {
-		s.behind[j.Model] = named - j.MinVersion
-	}
+	s.learnLag(j)
 	s.log.Info("job taken over", "job", j.ID, "step", j.Step, "model", j.Model, "min_version", j.MinVersion,
 		"named", s.registry.Versions()[j.Model], "items", len(j.Items), "listed", len(earlier.done), "carried", known,
 		"age_ms", now.Sub(j.Submitted).Milliseconds())
--- a/src/driver/engine_test.go
+++ b/src/driver/engine_test.go
@@ -180,7 +180,7 @@
 func planFor(engines map[string]*engine, named map[string]int64) planInput {
 	return planInput{
 		now: start, engines: engines, models: []string{"a", "b", "c"}, named: named,
-		behind: map[string]int64{"a": 1, "b": 1, "c": 1}, waiting: map[string]int{}, loads: map[string]int{},
+		needed: map[string]int64{"a": named["a"] - 1, "b": named["b"] - 1, "c": named["c"] - 1}, waiting: map[string]int{}, loads: map[string]int{},
 	}
 }
 
@@ -243,6 +243,54 @@
 	})
 }
 
+// namedVersions decodes rows as named versions of model "a".
+type namedVersions struct{ registry.Decoder }
+
+func (namedVersions) Operation(row sesamepitch.Row) registry.Operation {
+	return registry.Operation{Kind: registry.OperationVersion, Model: "a", Version: row.Version}
+}
+
+// TestNeeded takes two jobs over at once, in any order, while all engines have
+// weights that only the older job allows and both have waiting items: those of
+// the newer one are ordered.
+func TestNeeded(t *testing.T) {
+	known := registry.New(sesamepitch.SystemClock{}, namedVersions{})
+	known.ApplyOperators([]sesamepitch.Row{{Key: "op//version", Version: 8}}, false)
+	older := &job{Job: batch.Job{Head: batch.Head{ID: "older", Model: "a", MinVersion: 6}}, open: []*task{{}}}
+	newer := &job{Job: batch.Job{Head: batch.Head{ID: "newer", Model: "a", MinVersion: 7}}, open: []*task{{}}}
+	closed := &job{Job: batch.Job{Head: batch.Head{ID: "closed", Model: "a", MinVersion: 7}}}
+	future := &job{Job: batch.Job{Head: batch.Head{ID: "future", Model: "a", MinVersion: 9}}, open: []*task{{}}}
+	cases := []struct {
+		name   string
+		jobs   []*job
+		needed int64
+		loads  int
+	}{
+		{"newer last", []*job{older, newer}, 7, leastLoads},
+		{"older last", []*job{newer, older}, 7, leastLoads},
+		{"older alone", []*job{older}, 6, 0},
+		{"the newer one has no open item, but shows what the next step allows", []*job{closed, older}, 7, leastLoads},
+		{"a version that is not known to be named yet", []*job{older, future}, 8, leastLoads},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := &session{registry: known, jobs: map[string]*job{}, lags: map[string]lag{}}
+			for _, j := range c.jobs {
+				s.jobs[j.ID] = j
+				s.learnLag(j)
+			}
+			engines, named := pool(12, 6, "a"), known.Versions()
+			needed := s.neededBy([]string{"a"}, named)
+			assert.Equal(t, needed["a"], c.needed)
+			loads := plan(planInput{
+				now: start, engines: engines, models: []string{"a"}, named: named, needed: needed,
+				waiting: map[string]int{"a": 1}, loads: map[string]int{},
+			}, homes(nil, engines, []string{"a"}))
+			assert.Equal(t, len(loads), c.loads)
+		})
+	}
+}
+
 // TestPlanKeepsPace replays new versions each four seconds for three models on
 // twelve engines, loads of 0.9 s and two at once: each step finds at least two
 // engines whose weights it allows.
--- a/src/driver/loads.go
+++ b/src/driver/loads.go
@@ -20,7 +20,7 @@
 		engines := s.enginesOf(name)
 		s.home = homes(s.home, engines, models)
 		in := planInput{
-			now: now, engines: engines, models: models, named: named, behind: s.behindOf(models),
+			now: now, engines: engines, models: models, named: named, needed: s.neededBy(models, named),
 			waiting: s.waitingByModel(), loads: s.loader.counts(named),
 		}
 		for _, l := range plan(in, s.home) {
@@ -49,15 +49,41 @@
 	return engines
 }
 
-func (s *session) behindOf(models []string) map[string]int64 {
-	behind := map[string]int64{}
+// lag is how many versions older than the newest a job allows.
+type lag struct {
+	// minVersion is the bound of the job that showed it.
+	minVersion int64
+	versions   int64
+}
+
+// learnLag takes over what a job allows unless a newer one has shown it: jobs
+// are taken over in any order.
+func (s *session) learnLag(j *job) {
+	named := s.registry.Versions()[j.Model]
+	known, found := s.lags[j.Model]
+	if named < j.MinVersion || found && known.minVersion > j.MinVersion {
+		return
+	}
+	s.lags[j.Model] = lag{minVersion: j.MinVersion, versions: named - j.MinVersion}
+}
+
+// neededBy returns for each model the oldest version that serves all open jobs
+// and the step that the newest version allows.
+func (s *session) neededBy(models []string, named map[string]int64) map[string]int64 {
+	needed := map[string]int64{}
 	for _, model := range models {
-		behind[model] = versionsBehind
-		if known, found := s.behind[model]; found {
-			behind[model] = known
+		allowed := int64(versionsBehind)
+		if known, found := s.lags[model]; found {
+			allowed = known.versions
+		}
+		needed[model] = named[model] - allowed
+	}
+	for _, j := range s.jobs {
+		if len(j.open) > 0 {
+			needed[j.Model] = max(needed[j.Model], min(j.MinVersion, named[j.Model]))
 		}
 	}
-	return behind
+	return needed
 }
 
 func (s *session) waitingByModel() map[string]int {
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -54,8 +54,9 @@
 	jobs     map[string]*job
 	states   map[string]*engine
 	home     map[string]string
-	behind   map[string]int64
-	carry    *carry
+	// lags are how old the weights may be, by model.
+	lags  map[string]lag
+	carry *carry
 	// leaving is set once texts are kept for the next driver.
 	leaving bool
 	// adopted are the jobs that were taken over or ended, over those that ended.
--- a/src/driver/weights.go
+++ b/src/driver/weights.go
@@ -35,8 +35,9 @@
 	models  []string
 	// named are the newest versions by model.
 	named map[string]int64
-	// behind is how many versions older than the newest the jobs allow.
-	behind map[string]int64
+	// needed are the oldest versions that serve both the open jobs and the next
+	// step, by model.
+	needed map[string]int64
 	// waiting counts the items that wait for an engine, by model.
 	waiting map[string]int
 	// loads counts the loads of the newest version, by model.
@@ -114,7 +115,7 @@
 }
 
 // plan returns the loads to order now, the most urgent first: engines whose
-// version the next step will not allow, then engines for models whose items
+// version is older than needed, then engines for models whose items
 // wait, then engines that are merely behind, as far as loads are free.
 func plan(in planInput, home map[string]string) []load {
 	room := loadsAtOnce(len(in.engines)) - loadingNow(in.engines, in.now)
@@ -146,14 +147,13 @@
 	return e.listed && !e.entry.Draining && e.loading == "" && e.entry.LeavesAt.IsZero() && !in.now.Before(e.suspectUntil)
 }
 
-// expired lists home engines that the newest version's step does not allow,
-// the models with the fewest fresh engines first.
+// expired lists home engines whose version is older than needed, the models with the fewest fresh engines first.
 func expired(in planInput, home map[string]string) []load {
 	fresh := map[string]int{}
 	var wanted []load
 	for _, id := range slices.Sorted(maps.Keys(home)) {
 		model, e := home[id], in.engines[id]
-		if e.versions[model] >= in.named[model]-in.behind[model] {
+		if e.versions[model] >= in.needed[model] {
 			fresh[model]++
 			continue
 		}
@@ -199,7 +199,7 @@
 		var best *engine
 		for id, e := range in.engines {
 			idle := e.running <= e.entry.Slots/3
-			if home[id] == model || !idle || !in.mayLoad(e) || e.versions[model] >= in.named[model]-in.behind[model] {
+			if home[id] == model || !idle || !in.mayLoad(e) || e.versions[model] >= in.needed[model] {
 				continue
 			}
 			if best == nil || e.running < best.running || e.running == best.running && id < best.entry.ID {
