--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -208,7 +208,7 @@
 		clock: d.clock, log: d.log, ledger: d.ledger, registry: d.registry, engines: d.engines,
 		loader: newLoader(d.clock, d.log, d.control, d.lease, d.instance, epoch, d.checks),
 		checks: d.checks, holder: d.instance, epoch: epoch, wake: make(chan struct{}, 1),
-		jobs: map[string]*job{}, states: map[string]*engine{}, lags: map[string]lag{},
+		jobs: map[string]*job{}, states: map[string]*engine{}, home: map[string]string{}, lags: map[string]lag{},
 		carry: newCarry(), adopted: map[string]bool{}, over: map[string]bool{}, heads: map[string]batch.Head{}, readable: d.readable,
 	}
 	follower := registry.NewFollower(d.clock, d.log, d.store, batch.OpenTable, func(update registry.Update) { s.apply(ctx, update) })
--- a/src/driver/loads.go
+++ b/src/driver/loads.go
@@ -18,11 +18,12 @@
 			continue
 		}
 		engines := s.enginesOf(name)
+		s.home = homes(s.home, engines, models)
 		in := planInput{
 			now: now, engines: engines, models: models, named: named, needed: s.neededBy(models, named),
 			waiting: s.waitingByModel(), loads: s.loader.counts(named),
 		}
-		for _, l := range plan(in) {
+		for _, l := range plan(in, s.home) {
 			s.loader.begin(ctx, s, s.states[l.engine], l)
 		}
 	}
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -53,6 +53,7 @@
 	tickedAt time.Time
 	jobs     map[string]*job
 	states   map[string]*engine
+	home     map[string]string
 	// lags are how old the weights may be, by model.
 	lags  map[string]lag
 	carry *carry
--- a/src/driver/weights.go
+++ b/src/driver/weights.go
@@ -10,21 +10,14 @@
 const (
 	// loadsShare is one over the part of the engines that load at the same time;
 	// more would make each load slower.
-	loadsShare = 5
+	loadsShare = 6
 	leastLoads = 2
 	// versionsBehind is how many versions an engine may be behind and still
 	// serve the next step, where no job has shown another figure.
 	versionsBehind = 1
-	// crowded is how many items of a model wait before more loads are ordered
-	// than are free.
+	// crowded is how many items of a model wait before an engine beyond its own
+	// is loaded for it.
 	crowded = 6
-	// idleShare is the part of its slots up to which an engine counts as idle.
-	idleShare = 1.0 / 3
-	// slowCost, nearCost and modelsCost make an engine worse to load: a slow one,
-	// one in a data centre that has the model already, one that serves others.
-	slowCost   = 2.0
-	nearCost   = 0.5
-	modelsCost = 0.5
 )
 
 // load is an order that the plan asks for.
@@ -51,41 +44,90 @@
 	loads map[string]int
 }
 
-// standing is how a model is served at present.
-type standing struct {
-	// usable engines have a version that is needed, fresh ones the newest.
-	usable, fresh int
-	// expiring engines are usable until the next version is named.
-	expiring int
-	// free is how many loads of the newest version cost nothing.
-	free int
-	// centres counts the usable engines by data centre.
-	centres map[string]int
+// homes deals the engines out to the models: an engine keeps its model, a new
+// one gets the model with the fewest, and the largest share gives one away
+// while it has two more than the smallest.
+func homes(old map[string]string, engines map[string]*engine, models []string) map[string]string {
+	next := map[string]string{}
+	if len(models) == 0 {
+		return next
+	}
+	counts := map[string]int{}
+	var fresh []string
+	for _, id := range sortedEngines(engines) {
+		model, known := old[id]
+		if known && slices.Contains(models, model) {
+			next[id] = model
+			counts[model]++
+			continue
+		}
+		fresh = append(fresh, id)
+	}
+	for _, id := range fresh {
+		model := fewest(models, counts)
+		next[id] = model
+		counts[model]++
+	}
+	for {
+		small, large := fewest(models, counts), most(models, counts)
+		if counts[large]-counts[small] < 2 {
+			return next
+		}
+		id := lastOf(next, engines, large)
+		next[id] = small
+		counts[large]--
+		counts[small]++
+	}
+}
+
+// sortedEngines lists the usable engines by data centre, so that a model's
+// engines stand in different ones.
+func sortedEngines(engines map[string]*engine) []string {
+	var ids []string
+	for id, e := range engines {
+		if e.listed && !e.entry.Draining {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		byCentre := cmp.Compare(engines[a].entry.Centre, engines[b].entry.Centre)
+		return cmp.Or(byCentre, cmp.Compare(a, b))
+	})
+	return ids
+}
+
+func fewest(models []string, counts map[string]int) string {
+	return slices.MinFunc(models, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
 }
 
-// planner adds loads one by one; each changes what the next one is decided on.
-type planner struct {
-	in        planInput
-	standings map[string]*standing
-	taken     map[string]bool
-	median    time.Duration
+func most(models []string, counts map[string]int) string {
+	return slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
 }
 
-// plan returns the loads to order now, the most urgent first. Each version is
-// loaded at the engines whose own is too old, the free loads of a version at
-// one part of them: those of the versions before serve until theirs expires.
-func plan(in planInput) []load {
-	p := newPlanner(in)
-	var loads []load
-	for room := loadsAtOnce(len(in.engines)) - loadingNow(in.engines, in.now); room > 0; room-- {
-		next, found := p.next()
-		if !found {
-			break
+func lastOf(homes map[string]string, engines map[string]*engine, model string) string {
+	ids := sortedEngines(engines)
+	for i := len(ids) - 1; i >= 0; i-- {
+		if homes[ids[i]] == model {
+			return ids[i]
 		}
-		p.take(next)
-		loads = append(loads, next)
 	}
-	return loads
+	return ""
+}
+
+// plan returns the loads to order now, the most urgent first: engines whose
+// version is older than needed, then engines for models whose items
+// wait, then engines that are merely behind, as far as loads are free.
+func plan(in planInput, home map[string]string) []load {
+	room := loadsAtOnce(len(in.engines)) - loadingNow(in.engines, in.now)
+	if room <= 0 {
+		return nil
+	}
+	wanted := expired(in, home)
+	wanted = append(wanted, extra(in, home)...)
+	if len(wanted) == 0 {
+		wanted = refresh(in, home)
+	}
+	return distinct(wanted, room)
 }
 
 func loadsAtOnce(engines int) int { return max(leastLoads, engines/loadsShare) }
@@ -100,145 +142,111 @@
 	return count
 }
 
-func newPlanner(in planInput) *planner {
-	p := &planner{in: in, standings: map[string]*standing{}, taken: map[string]bool{}, median: medianPace(in.engines)}
-	for _, model := range in.models {
-		p.standings[model] = p.standingOf(model)
-	}
-	return p
-}
-
-func (p *planner) standingOf(model string) *standing {
-	share := max(len(p.in.engines)/len(p.in.models), 1)
-	s := &standing{free: share - p.in.loads[model], centres: map[string]int{}}
-	for _, e := range p.in.engines {
-		if !e.inUse() {
-			continue
-		}
-		version := e.versionSoon(model)
-		if version < p.in.needed[model] {
+// mayLoad tells whether an engine can take an order now.
+func (in planInput) mayLoad(e *engine) bool {
+	return e.listed && !e.entry.Draining && e.loading == "" && e.entry.LeavesAt.IsZero() && !in.now.Before(e.suspectUntil)
+}
+
+// expired lists home engines whose version is older than needed, the models with the fewest fresh engines first.
+func expired(in planInput, home map[string]string) []load {
+	fresh := map[string]int{}
+	var wanted []load
+	for _, id := range slices.Sorted(maps.Keys(home)) {
+		model, e := home[id], in.engines[id]
+		if e.versions[model] >= in.needed[model] {
+			fresh[model]++
 			continue
 		}
-		s.usable++
-		s.centres[e.entry.Centre]++
-		switch version {
-		case p.in.named[model]:
-			s.fresh++
-		case p.in.needed[model]:
-			s.expiring++
+		if in.mayLoad(e) {
+			wanted = append(wanted, load{id, model, in.named[model]})
 		}
 	}
-	return s
-}
-
-// inUse tells whether an engine may get items later.
-func (e *engine) inUse() bool {
-	return e.listed && !e.entry.Draining && e.entry.LeavesAt.IsZero()
+	return inTurn(wanted, func(model string) int {
+		if in.waiting[model] == 0 {
+			return fresh[model] + len(in.engines) // after those whose items wait
+		}
+		return fresh[model]
+	})
 }
 
-// versionSoon returns the version that an engine has or is loading.
-func (e *engine) versionSoon(model string) int64 {
-	if e.loading == model {
-		return max(e.target, e.versions[model])
+// inTurn orders loads so that each takes the model that is worst off by then:
+// start is what a model has, and each load adds one.
+func inTurn(loads []load, start func(model string) int) []load {
+	type ranked struct {
+		load load
+		rank int
 	}
-	return e.versions[model]
-}
-
-// mayLoad tells whether an engine can take an order now.
-func (p *planner) mayLoad(e *engine) bool {
-	return e.inUse() && e.loading == "" && !p.taken[e.entry.ID] && !p.in.now.Before(e.suspectUntil)
-}
-
-// next returns the load that the worst served model wants.
-func (p *planner) next() (load, bool) {
-	models := slices.Clone(p.in.models)
-	slices.SortStableFunc(models, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.rank(a), p.rank(b)), cmp.Compare(p.standings[a].fresh, p.standings[b].fresh), cmp.Compare(a, b))
-	})
-	for _, model := range models {
-		if e := p.candidate(model); e != nil {
-			return load{engine: e.entry.ID, model: model, version: p.in.named[model]}, true
-		}
+	given := map[string]int{}
+	order := make([]ranked, len(loads))
+	for i, l := range loads {
+		order[i] = ranked{load: l, rank: start(l.model) + given[l.model]}
+		given[l.model]++
 	}
-	return load{}, false
-}
-
-// rank is smallest for the model with the fewest usable engines; models whose
-// items wait come before all others.
-func (p *planner) rank(model string) int {
-	if p.in.waiting[model] == 0 {
-		return p.standings[model].usable + len(p.in.engines)
+	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	for i, each := range order {
+		loads[i] = each.load
 	}
-	return p.standings[model].usable
+	return loads
 }
 
-// candidate returns the engine to load for a model, nil if it wants no load.
-func (p *planner) candidate(model string) *engine {
-	s, named, needed := p.standings[model], p.in.named[model], p.in.needed[model]
-	waiting := p.in.waiting[model]
-	expired := func(e *engine) bool { return e.versions[model] < min(needed, named) }
-	if s.free > 0 || waiting > 0 && s.usable == 0 {
-		if e := p.best(model, expired); e != nil {
-			return e
+// extra lists idle engines of other models for models whose items wait.
+func extra(in planInput, home map[string]string) []load {
+	var wanted []load
+	for _, model := range slices.Sorted(maps.Keys(in.waiting)) {
+		if in.waiting[model] < crowded {
+			continue
+		}
+		var best *engine
+		for id, e := range in.engines {
+			idle := e.running <= e.entry.Slots/3
+			if home[id] == model || !idle || !in.mayLoad(e) || e.versions[model] >= in.needed[model] {
+				continue
+			}
+			if best == nil || e.running < best.running || e.running == best.running && id < best.entry.ID {
+				best = e
+			}
+		}
+		if best != nil {
+			wanted = append(wanted, load{best.entry.ID, model, in.named[model]})
 		}
 	}
-	if waiting >= crowded {
-		return p.best(model, func(e *engine) bool {
-			return expired(e) && float64(e.running) <= idleShare*float64(e.entry.Slots)
-		})
-	}
-	lag := int(named - needed)
-	if s.free > 0 && waiting == 0 && s.expiring*(lag+1) > s.usable {
-		return p.best(model, func(e *engine) bool { return e.versions[model] == needed && needed < named })
-	}
-	return nil
+	return wanted
 }
 
-// best returns the cheapest engine that can take an order and fits.
-func (p *planner) best(model string, fits func(*engine) bool) *engine {
-	var best *engine
-	bestCost := 0.0
-	for _, id := range slices.Sorted(maps.Keys(p.in.engines)) {
-		e := p.in.engines[id]
-		if !p.mayLoad(e) || !fits(e) {
+// refresh lists home engines that are behind but still allowed, while loads of
+// the newest version are free.
+func refresh(in planInput, home map[string]string) []load {
+	free := map[string]int{}
+	for _, model := range in.models {
+		free[model] = len(home)/max(len(in.models), 1) - in.loads[model]
+	}
+	newest := map[string]int{}
+	var wanted []load
+	for _, id := range slices.Sorted(maps.Keys(home)) {
+		model, e := home[id], in.engines[id]
+		if e.versions[model] >= in.named[model] {
+			newest[model]++
 			continue
 		}
-		if cost := p.cost(model, e); best == nil || cost < bestCost {
-			best, bestCost = e, cost
+		if !in.mayLoad(e) || free[model] <= 0 || in.waiting[model] > 0 {
+			continue
 		}
+		free[model]--
+		wanted = append(wanted, load{id, model, in.named[model]})
 	}
-	return best
+	return inTurn(wanted, func(model string) int { return newest[model] })
 }
 
-// cost is smallest for an engine that has room, serves few other models and
-// stands where the model has no engine yet.
-func (p *planner) cost(model string, e *engine) float64 {
-	s := p.standings[model]
-	cost := float64(e.running) / float64(max(e.entry.Slots, 1))
-	cost += nearCost * float64(s.centres[e.entry.Centre]) / float64(max(s.usable, 1))
-	others := 0
-	for _, other := range p.in.models {
-		if other != model && e.versions[other] >= p.in.needed[other] {
-			others++
+// distinct keeps the first load of each engine, up to room of them.
+func distinct(wanted []load, room int) []load {
+	seen := map[string]bool{}
+	var kept []load
+	for _, l := range wanted {
+		if seen[l.engine] || len(kept) >= room {
+			continue
 		}
+		seen[l.engine] = true
+		kept = append(kept, l)
 	}
-	cost += modelsCost * float64(others) / float64(len(p.in.models))
-	if e.isSlow(p.median) {
-		cost += slowCost
-	}
-	return cost
-}
-
-// take counts a load as ordered.
-func (p *planner) take(l load) {
-	s, e := p.standings[l.model], p.in.engines[l.engine]
-	p.taken[l.engine] = true
-	s.free--
-	s.fresh++
-	if e.versions[l.model] >= p.in.needed[l.model] {
-		s.expiring--
-		return
-	}
-	s.usable++
-	s.centres[e.entry.Centre]++
+	return kept
 }
