Silent engines are left sooner, texts are kept by what a step waits for

Change: the limit of a silence follows the engine's pace (0.4 to 0.7 s, 0.8 s before the first event); a silent engine is avoided for longer each time and costs more until it makes an event; a text that lost its engine prefers another data centre; texts are kept each 0.5 s, up to 24, those first that will be longest; a text that reaches its estimate is expected to grow by a third; waiting reads look each 40 ms. A transaction with results and texts stays within 100 entries and 1 MB, which 90 results with 8 texts could exceed.

Tests: TestLostCentre, TestMissed, TestSilenceLimit, TestExpectedEvents, TestKeptTexts. In TestLongestFirst the text of 145 of an estimated 150 events now counts as likely to go on (estimates are often far off); one that is short and almost whole was added in its place.

--- a/src/batch/ledger.go
+++ b/src/batch/ledger.go
@@ -25,8 +25,9 @@
 	chunkBytes = 60_000
 	// txnBytes keeps a transaction, in base64, below the store's limit of 1 MB.
 	txnBytes = 600_000
-	// txnRows keeps a transaction below the store's limit of 100 entries.
-	txnRows = 90
+	// txnRows keeps a transaction, with its mark and ProgressRows, within the
+	// store's limit of 100 entries.
+	txnRows = 100 - 1 - ProgressRows
 	// settlePause is the time between tries of a write whose outcome is unknown.
 	settlePause = 60 * time.Millisecond
 	// knownHeads bounds the cache of heads.
--- a/src/batch/progress.go
+++ b/src/batch/progress.go
@@ -13,8 +13,12 @@
 
 const progressTable = "progress"
 
-// ProgressRows bounds the parts of texts that one Append keeps.
-const ProgressRows = 8
+// ProgressRows and ProgressBytes bound the parts of texts that one Append keeps
+// beside results.
+const (
+	ProgressRows  = 24
+	ProgressBytes = 120_000
+)
 
 // Progress is a part of an item's text that is not whole yet, kept for a
 // process that takes the job over.
@@ -30,6 +34,15 @@
 	Versions []int64  `json:"versions"`
 }
 
+// Size returns the number of bytes of the part's events.
+func (p Progress) Size() int {
+	size := 0
+	for _, event := range p.Events {
+		size += len(event)
+	}
+	return size
+}
+
 func progressKey(id string, p Progress) string {
 	return fmt.Sprintf("%s/%s/%05d/%015d/%06d", progressTable, id, p.Item, p.Lineage, p.From)
 }
--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -30,6 +30,12 @@
 	paceCost = 0.8
 	// reclaimCost is what an engine that may be taken away costs.
 	reclaimCost = 0.05
+	// missCost is what an engine that was silent or out of reach costs for each
+	// time, until it has made an event again.
+	missCost = 1.0
+	// centreCost is what an engine costs in the data centre of one that the item
+	// has just lost: the data centre may be cut off.
+	centreCost = 0.5
 )
 
 // engine is what the driver knows of an engine beside its entry in the list.
@@ -52,7 +58,7 @@
 	// before it was asked.
 	orders       int64
 	suspectUntil time.Time
-	// misses counts connections that failed in a row.
+	// misses counts connections that failed and silences in a row.
 	misses    int
 	fullUntil time.Time
 	// pace is the mean time between events, over paces events.
@@ -124,9 +130,9 @@
 	}
 }
 
-// unreachable notes that no connection could be made; the engine is avoided for
-// longer each time.
-func (e *engine) unreachable(now time.Time) {
+// missed notes that no connection could be made or that the engine fell silent;
+// it is avoided for longer each time.
+func (e *engine) missed(now time.Time) {
 	if now.Before(e.suspectUntil) {
 		return
 	}
@@ -163,8 +169,10 @@
 	group      string
 	// exact asks for one version, zero for any from minVersion on.
 	exact int64
-	// avoid is an engine that just failed the item.
-	avoid string
+	// avoid is an engine that just failed the item; avoidCentre is its data
+	// centre if it could not be reached.
+	avoid       string
+	avoidCentre string
 }
 
 // fits tells whether an engine may get an item now.
@@ -222,6 +230,10 @@
 	if e.entry.ID == n.avoid {
 		cost++
 	}
+	if n.avoidCentre != "" && e.entry.Centre == n.avoidCentre {
+		cost += centreCost
+	}
+	cost += missCost * float64(e.misses)
 	return cost
 }
 
--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -16,9 +16,9 @@
 	// commitPause is the time between tries to list results.
 	commitPause = 80 * time.Millisecond
 	// keepEvery is the time after which texts that are not whole are kept.
-	keepEvery = 700 * time.Millisecond
+	keepEvery = 500 * time.Millisecond
 	// keepEvents is how many new events make it worth to keep a text.
-	keepEvents = 15
+	keepEvents = 8
 )
 
 // job is a batch job that this driver has taken over.
@@ -76,7 +76,7 @@
 }
 
 // takeProgress returns what the table lacks of texts that have been running
-// for a while, the longest first.
+// for a while, first those that a job will wait for.
 func (s *session) takeProgress(j *job, atLeast int) []batch.Progress {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -86,10 +86,15 @@
 			tasks = append(tasks, t)
 		}
 	}
-	slices.SortFunc(tasks, func(a, b *task) int { return cmp.Compare(len(b.text.events), len(a.text.events)) })
+	slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(b.expectedEvents(), a.expectedEvents()) })
 	var progress []batch.Progress
+	bytes := 0
 	for _, t := range tasks[:min(batch.ProgressRows, len(tasks))] {
 		part := t.progress()
+		bytes += part.Size()
+		if bytes > batch.ProgressBytes && len(progress) > 0 {
+			break
+		}
 		t.kept = part.From + len(part.Events)
 		progress = append(progress, part)
 	}
--- a/src/driver/run.go
+++ b/src/driver/run.go
@@ -9,10 +9,15 @@
 )
 
 const (
-	// firstEventTime and gapTime are how long an engine may be silent before and
-	// between events until the run is given up.
-	firstEventTime = 1200 * time.Millisecond
-	gapTime        = 700 * time.Millisecond
+	// firstEventTime is how long an engine may be silent before the first event
+	// until the run is given up: it connects, waits for others' prompts and reads
+	// its own.
+	firstEventTime = 800 * time.Millisecond
+	// An engine may be silent between events for gapPaces times its pace, within
+	// gapLeast, which bears the prompts of others, and gapMost.
+	gapPaces = 10
+	gapLeast = 400 * time.Millisecond
+	gapMost  = 700 * time.Millisecond
 	// failurePause holds a task back after its run failed.
 	failurePause = 30 * time.Millisecond
 	// suspiciousBreaks is after how many runs without any event a task waits
@@ -196,7 +201,8 @@
 	case kind == sesamepitch.KindOverloaded:
 		e.fullUntil = now.Add(fullTime)
 	case kind == sesamepitch.KindUnavailable:
-		e.unreachable(now)
+		e.missed(now)
+		t.avoidCentre = e.entry.Centre
 	case kind == sesamepitch.KindStale:
 	case kind == sesamepitch.KindInvalid:
 		s.finish(t, t.dead())
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -165,7 +165,7 @@
 // needOf returns what a task asks of an engine. An empty service means that no
 // route allows the task now.
 func (s *session) needOf(t *task) need {
-	n := need{model: t.job.Model, minVersion: t.job.MinVersion, group: t.item.Group, avoid: t.avoid}
+	n := need{model: t.job.Model, minVersion: t.job.MinVersion, group: t.item.Group, avoid: t.avoid, avoidCentre: t.avoidCentre}
 	config := s.registry.Config()
 	if config == nil {
 		return n
--- a/src/driver/task.go
+++ b/src/driver/task.go
@@ -18,6 +18,9 @@
 	// tokensPerEvent turns an estimate in tokens into events until texts have
 	// shown the figure.
 	tokensPerEvent = 59
+	// beyondShare is one over the part of its present length that a text is
+	// expected to grow by at least.
+	beyondShare = 3
 )
 
 // task is an item on its way to a result.
@@ -38,8 +41,11 @@
 	// notBefore holds a task back after a failure.
 	notBefore time.Time
 	// run is the present run, nil while the task waits.
-	run   *run
-	avoid string
+	run *run
+	// avoid is the engine that failed the task last, avoidCentre its data centre
+	// if it could not be reached.
+	avoid       string
+	avoidCentre string
 	// reserved is the engine whose place is kept for the task while its run
 	// elsewhere ends.
 	reserved  *engine
@@ -122,14 +128,20 @@
 	return batch.Result{ID: t.item.ID, State: batch.Dead, Versions: []int64{}}
 }
 
-// expectedLeft estimates the time that the rest of the text takes.
-func (t *task) expectedLeft(pace time.Duration) time.Duration {
-	events := int64(meanEvents)
+// expectedEvents estimates how many events the text will have. A text that is
+// longer than its trainer's estimate is likely to go on for a while.
+func (t *task) expectedEvents() int {
+	events := meanEvents
 	if t.item.ExpectedTokens > 0 {
-		events = t.item.ExpectedTokens / tokensPerEvent
+		events = int(t.item.ExpectedTokens / tokensPerEvent)
 	}
-	left := max(events-int64(len(t.text.events)), 1)
-	return time.Duration(left) * pace
+	made := len(t.text.events)
+	return max(events, made+made/beyondShare, made+1)
+}
+
+// expectedLeft estimates the time that the rest of the text takes.
+func (t *task) expectedLeft(pace time.Duration) time.Duration {
+	return time.Duration(t.expectedEvents()-len(t.text.events)) * pace
 }
 
 // byUrgency orders waiting tasks by the time that is left beyond what they
--- a/src/driver/watch.go
+++ b/src/driver/watch.go
@@ -12,15 +12,21 @@
 // endStalled ends runs whose engine has been silent for too long.
 func (s *session) endStalled(now time.Time) {
 	for _, t := range s.runningTasks() {
-		limit := firstEventTime
-		if t.run.gotEvent {
-			limit = gapTime
-		}
-		if now.Sub(t.run.lastEvent) > limit && t.run.why == "" {
-			t.run.engine.suspectUntil = now.Add(suspectTime)
-			s.stop(t.run, "engine is silent")
+		if t.run.why != "" || now.Sub(t.run.lastEvent) <= t.run.silenceLimit() {
+			continue
 		}
+		t.run.engine.missed(now)
+		t.avoid, t.avoidCentre = t.run.engine.entry.ID, t.run.engine.entry.Centre
+		s.stop(t.run, "engine is silent")
+	}
+}
+
+// silenceLimit is how long the engine may say nothing until the run is given up.
+func (r *run) silenceLimit() time.Duration {
+	if !r.gotEvent {
+		return firstEventTime
 	}
+	return min(max(gapPaces*r.engine.pace, gapLeast), gapMost)
 }
 
 // stop ends a run from this side; its task goes on with the text so far.
--- a/src/gateway/jobs.go
+++ b/src/gateway/jobs.go
@@ -20,7 +20,7 @@
 	// readTime bounds one read of a job, beside its wait.
 	readTime = 2 * time.Second
 	// readPause is the time between looks of a waiting read.
-	readPause = 100 * time.Millisecond
+	readPause = 40 * time.Millisecond
 )
 
 // Submit accepts a batch job once and whole.
