Each model has an engine for its next step, also while items wait

Engines that are merely behind were not loaded while items of their model waited, so a busy model came to its next step with none that may serve it.

Change: a model of which no engine has or loads the newest version gets one load, at the engine that serves it least, ranked with the first loads of models whose items wait; what runs there goes on meanwhile.

--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -201,6 +201,14 @@
 	return !e.scouting && !e.readyAt.IsZero() && !now.Before(e.readyAt)
 }
 
+// versionSoon returns the version that an engine has or is loading.
+func (e *engine) versionSoon(model string) int64 {
+	if e.loading == model {
+		return max(e.target, e.versions[model])
+	}
+	return e.versions[model]
+}
+
 // isLoading tells whether the engine takes part of the rate at which weights
 // can be loaded.
 func (e *engine) isLoading(now time.Time) bool {
--- a/src/driver/weights.go
+++ b/src/driver/weights.go
@@ -18,6 +18,9 @@
 	// crowded is how many items of a model wait before an engine beyond its own
 	// is loaded for it.
 	crowded = 6
+	// aheadRank ranks a model without an engine for its next step with those that
+	// have one engine and waiting items.
+	aheadRank = 1
 )
 
 // load is an order that the plan asks for.
@@ -114,15 +117,16 @@
 	return ""
 }
 
-// plan returns the loads to order now, the most urgent first: engines whose
-// version is older than needed, then engines for models whose items
-// wait, then engines that are merely behind, as far as loads are free.
+// plan returns the loads to order now, the most urgent first: one engine for
+// each model that has none for its next step, then engines whose version is
+// older than needed, then engines for models whose items wait, then engines
+// that are merely behind, as far as loads are free.
 func plan(in planInput, home map[string]string) []load {
 	room := loadsAtOnce(len(in.engines)) - loadingNow(in.engines, in.now)
 	if room <= 0 {
 		return nil
 	}
-	wanted := expired(in, home)
+	wanted := byRank(append(expired(in, home), ahead(in, home)...))
 	wanted = append(wanted, extra(in, home)...)
 	if len(wanted) == 0 {
 		wanted = refresh(in, home)
@@ -147,8 +151,42 @@
 	return e.listed && !e.entry.Draining && e.loading == "" && e.entry.LeavesAt.IsZero() && !in.now.Before(e.suspectUntil)
 }
 
+// ahead lists one home engine for each model of which no engine has the newest
+// version: the next step may allow nothing older. The one that serves least is
+// taken; what runs there goes on meanwhile.
+func ahead(in planInput, home map[string]string) []ranked {
+	best := map[string]*engine{}
+	fresh := map[string]bool{}
+	for _, id := range slices.Sorted(maps.Keys(home)) {
+		model, e := home[id], in.engines[id]
+		if e.versionSoon(model) >= in.named[model] {
+			fresh[model] = true
+		}
+		if in.mayLoad(e) && (best[model] == nil || in.servesLess(model, e, best[model])) {
+			best[model] = e
+		}
+	}
+	var wanted []ranked
+	for _, model := range slices.Sorted(maps.Keys(best)) {
+		if !fresh[model] {
+			wanted = append(wanted, ranked{load{best[model].entry.ID, model, in.named[model]}, aheadRank})
+		}
+	}
+	return wanted
+}
+
+// servesLess tells whether an engine serves a model less than another one does:
+// its version is too old, or fewer items run there.
+func (in planInput) servesLess(model string, e, other *engine) bool {
+	old, otherOld := e.versions[model] < in.needed[model], other.versions[model] < in.needed[model]
+	if old != otherOld {
+		return old
+	}
+	return e.running < other.running
+}
+
 // expired lists home engines whose version is older than needed, the models with the fewest fresh engines first.
-func expired(in planInput, home map[string]string) []load {
+func expired(in planInput, home map[string]string) []ranked {
 	fresh := map[string]int{}
 	var wanted []load
 	for _, id := range slices.Sorted(maps.Keys(home)) {
@@ -169,22 +207,30 @@
 	})
 }
 
-// inTurn orders loads so that each takes the model that is worst off by then:
+// ranked is a load with its urgency: how many engines its model has by then.
+type ranked struct {
+	load load
+	rank int
+}
+
+// inTurn ranks loads so that each takes the model that is worst off by then:
 // start is what a model has, and each load adds one.
-func inTurn(loads []load, start func(model string) int) []load {
-	type ranked struct {
-		load load
-		rank int
-	}
+func inTurn(loads []load, start func(model string) int) []ranked {
 	given := map[string]int{}
 	order := make([]ranked, len(loads))
 	for i, l := range loads {
 		order[i] = ranked{load: l, rank: start(l.model) + given[l.model]}
 		given[l.model]++
 	}
+	return order
+}
+
+// byRank returns the loads, the most urgent first.
+func byRank(order []ranked) []load {
 	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
-	for i, each := range order {
-		loads[i] = each.load
+	var loads []load
+	for _, each := range order {
+		loads = append(loads, each.load)
 	}
 	return loads
 }
@@ -234,7 +280,7 @@
 		free[model]--
 		wanted = append(wanted, load{id, model, in.named[model]})
 	}
-	return inTurn(wanted, func(model string) int { return newest[model] })
+	return byRank(inTurn(wanted, func(model string) int { return newest[model] }))
 }
 
 // distinct keeps the first load of each engine, up to room of them.
