A request whose only try runs out of time is answered as timed out

Cause: TestTries failed once under the race detector ("silent, runs once at most": unknown in place of timeout). A try that may take all the time left has a timer of its own for the same instant as the request's; if it fires first, the outcome was said to be unknown (502), not a timeout (504). Both promise nothing, but the log named a wrong cause.

Ruled out: the time itself (0.59 s of 0.6 s), an endpoint's answer (there was none).

Change: a try that timed out counts as the request's time being up. The new case of TestTries returns a try's timeout at once: "unknown" before, "timeout" after.

--- a/src/gateway/gateway_test.go
+++ b/src/gateway/gateway_test.go
@@ -163,6 +163,7 @@
 			<-ctx.Done()
 			return failed(sesamepitch.KindTimeout)
 		}, false, 1, 0, sesamepitch.KindTimeout},
+		{"the try's time is up just before the request's", "/once/", func(context.Context) (sesamepitch.Answer, error) { return failed(sesamepitch.KindTimeout) }, false, 1, 0, sesamepitch.KindTimeout},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/src/gateway/run.go
+++ b/src/gateway/run.go
@@ -107,8 +107,10 @@
 }
 
 func (r *run) refusal(ctx context.Context, cause error) error {
+	// A try that may take all the time left can end just before the request does.
+	timeIsUp := ctx.Err() != nil || sesamepitch.KindOf(cause) == sesamepitch.KindTimeout
 	switch {
-	case ctx.Err() != nil && r.mayHaveRun:
+	case timeIsUp && r.mayHaveRun:
 		return &Refusal{Kind: sesamepitch.KindTimeout, Err: errTimeIsUp}
 	case r.mayHaveRun:
 		return &Refusal{Kind: sesamepitch.KindUnknown, Err: cause}
