The driver is told of accepted and ended jobs at once

Cause: jobs were taken over up to 1.3 s after their acceptance while the store's feed was silent (history dropped, driver cut off from the store): the feed was the only way by which the driver learned of them.

Ruled out: acceptance (21 to 31 ms in the lines read).

A session takes notices only while it runs; a notice never brings an ended job back. TestNotice takes jobs over and ends them with a feed that does not answer.

--- a/src/driver/adopt.go
+++ b/src/driver/adopt.go
@@ -22,13 +22,18 @@
 			s.log.Info("row of an open job is unreadable", "cause", err.Error())
 			continue
 		}
-		s.noteHead(head)
-		if head.Ended {
-			s.endJob(head.ID)
-			continue
-		}
-		s.adopt(ctx, head)
+		s.takeHead(ctx, head)
+	}
+}
+
+// takeHead takes a job over or ends it, as its head says.
+func (s *session) takeHead(ctx context.Context, head batch.Head) {
+	s.noteHead(head)
+	if head.Ended {
+		s.endJob(head.ID)
+		return
 	}
+	s.adopt(ctx, head)
 }
 
 // adopt takes a job over unless that has begun already.
--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	sesamepitch "sesamepitch/src"
@@ -58,6 +59,11 @@
 	// one drives; until restUntil this one takes no part in the lease.
 	weakSince time.Time
 	restUntil time.Time
+
+	mu sync.Mutex
+	// current is the running session, as far as it takes notices; nil if there is
+	// none.
+	current *active
 }
 
 // Option changes a Driver.
@@ -94,27 +100,36 @@
 type active struct {
 	epoch   int64
 	session *session
+	ctx     context.Context
 	cancel  context.CancelFunc
 	ended   chan struct{}
 }
 
 // handOver keeps the texts that are not whole for the next driver and stops.
-func (a *active) handOver(ctx context.Context) {
+func (d *Driver) handOver(ctx context.Context, a *active) {
 	a.session.handOver(ctx)
-	a.stop()
+	d.stop(a)
 }
 
-func (a *active) stop() {
+// stop ends a session; it gets no more notices.
+func (d *Driver) stop(a *active) {
+	d.setCurrent(nil)
 	a.cancel()
 	<-a.ended
 }
 
+func (d *Driver) setCurrent(a *active) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.current = a
+}
+
 // Run takes part in the lease until ctx ends or the driver leaves.
 func (d *Driver) Run(ctx context.Context) error {
 	var current *active
 	defer func() {
 		if current != nil {
-			current.stop()
+			d.stop(current)
 		}
 	}()
 	for {
@@ -127,7 +142,7 @@
 		case <-d.clock.After(renewal):
 		case <-d.leaving:
 			if current != nil {
-				current.handOver(ctx)
+				d.handOver(ctx, current)
 				current = nil
 			}
 			d.release(ctx)
@@ -170,7 +185,7 @@
 	taken := record.Holder != "" && record.Holder != d.instance
 	if current != nil && (taken || held && epoch != current.epoch) {
 		d.log.Info("driving ends", "epoch", current.epoch, "holder", record.Holder, "its_epoch", record.Epoch)
-		current.stop()
+		d.stop(current)
 		current = nil
 	}
 	if current != nil || !held {
@@ -195,7 +210,7 @@
 		return current
 	}
 	d.log.Info("driving is left to a stronger instance", "epoch", current.epoch)
-	current.handOver(ctx)
+	d.handOver(ctx, current)
 	d.release(ctx)
 	d.weakSince = time.Time{}
 	d.restUntil = d.clock.Now().Add(yieldRest)
@@ -227,5 +242,7 @@
 		<-swept
 		s.running.Wait()
 	}()
-	return &active{epoch: epoch, session: s, cancel: cancel, ended: ended}
+	started := &active{epoch: epoch, session: s, ctx: ctx, cancel: cancel, ended: ended}
+	d.setCurrent(started)
+	return started
 }
--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -176,12 +176,16 @@
 	return r
 }
 
+func (r *rig) newDriver(instance string) *driver.Driver {
+	clock := sesamepitch.SystemClock{}
+	held := driver.NewLease(clock, r.store, instance, "")
+	return driver.New(clock, logr.Discard(), r.store, r.ledger, r.known, r.engines, r.engines, held, instance, func() bool { return true })
+}
+
 // drive runs a driver of an instance until the returned function is called;
 // leave hands over first.
 func (r *rig) drive(instance string) (leave, kill func()) {
-	clock := sesamepitch.SystemClock{}
-	held := driver.NewLease(clock, r.store, instance, "")
-	d := driver.New(clock, logr.Discard(), r.store, r.ledger, r.known, r.engines, r.engines, held, instance, func() bool { return true })
+	d := r.newDriver(instance)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(ctx) }()
@@ -298,6 +302,57 @@
 	}
 }
 
+// noCaller reaches no peer.
+type noCaller struct{}
+
+func (noCaller) Call(context.Context, string, string, any, any) error {
+	return failure{sesamepitch.KindUnavailable, nil}
+}
+
+// TestNotice hears nothing of the feed: jobs are taken over and ended by notices
+// alone, and an old notice does not bring an ended job back.
+func TestNotice(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1)
+	r.store.SetFault(func(op, _ string) standin.Outcome {
+		if op == "changes" || op == "snapshot" {
+			return standin.Refused
+		}
+		return standin.Served
+	})
+	d := r.newDriver("a")
+	notifier := driver.NewNotifier(sesamepitch.SystemClock{}, logr.Discard(), d, noCaller{})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	go func() { ended <- d.Run(ctx) }()
+	go func() { ended <- notifier.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		<-ended
+	})
+	r.submit("j", 1, "x")
+	r.engines.scripts["z"] = []script{{last: 100, pace: 100 * time.Millisecond}}
+	r.submit("endless", 1, "z")
+	time.Sleep(500 * time.Millisecond)
+	tell := func(id string, over bool) {
+		head, err := r.ledger.Head(ctx, id)
+		assert.NilError(t, err)
+		head.Ended = over
+		notifier.Notify(head)
+	}
+	tell("j", false)
+	tell("endless", false)
+	assert.Equal(t, r.results("j", 1, 3*time.Second)["x"].Text, textOf("x"))
+	tell("endless", true)
+	tell("endless", false)
+	time.Sleep(time.Second)
+	assert.Equal(t, len(r.engines.runsOf("z")), 1)
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	assert.Equal(t, r.engines.at["e0"], 0, "the ended job's run is over")
+}
+
 // TestHandOver stops a driver in the middle of texts: the next one goes on
 // from where it was.
 func TestHandOver(t *testing.T) {
--- a/src/driver/sweep.go
+++ b/src/driver/sweep.go
@@ -56,11 +56,14 @@
 	s.log.Info("job removed", "job", id)
 }
 
-// noteHead remembers a job's head; forgetHead drops it once its row is gone.
+// noteHead remembers a job's head, an ended one for good; forgetHead drops it
+// once its row is gone.
 func (s *session) noteHead(head batch.Head) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heads[head.ID] = head
+	if !s.heads[head.ID].Ended {
+		s.heads[head.ID] = head
+	}
 }
 
 func (s *session) forgetHead(id string) {
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -62,6 +62,8 @@
 	checks   *invariant.Recorder
 	// instances returns the number of instances that share what endpoints bear.
 	instances func() int
+	// notify tells the driver of a job that was accepted or ended.
+	notify func(batch.Head)
 
 	mu    sync.Mutex
 	loads map[string]*load
@@ -81,12 +83,19 @@
 	return func(g *Gateway) { g.instances = instances }
 }
 
+// WithNotify has each job that was accepted or ended here told to the driver;
+// notify must not block.
+func WithNotify(notify func(batch.Head)) Option {
+	return func(g *Gateway) { g.notify = notify }
+}
+
 // New returns a gateway of an instance in a data centre of a region.
 func New(clock sesamepitch.Clock, log logr.Logger, known *registry.Registry, forward sesamepitch.Forwarder, ledger *batch.Ledger, meter Meter, centre, region string, options ...Option) *Gateway {
 	g := &Gateway{
 		clock: clock, log: log, registry: known, forward: forward, ledger: ledger, meter: meter,
 		centre: centre, region: region, loads: map[string]*load{},
 		instances: func() int { return 1 },
+		notify:    func(batch.Head) {},
 	}
 	for _, option := range options {
 		option(g)
--- a/src/gateway/jobs.go
+++ b/src/gateway/jobs.go
@@ -56,6 +56,7 @@
 	err := g.ledger.Accept(ctx, job)
 	switch sesamepitch.KindOf(err) {
 	case "":
+		g.tell(ctx, job.ID, false)
 		return nil
 	case sesamepitch.KindDenied:
 		return &Refusal{Kind: sesamepitch.KindInvalid, Err: err}
@@ -66,6 +67,17 @@
 	}
 }
 
+// tell has the driver told of a job that was accepted or ended.
+func (g *Gateway) tell(ctx context.Context, id string, ended bool) {
+	head, err := g.ledger.Head(ctx, id)
+	if err != nil {
+		g.log.Info("driver not told of a job", "job", id, "cause", err.Error())
+		return
+	}
+	head.Ended = head.Ended || ended
+	g.notify(head)
+}
+
 // own checks that a job exists and belongs to the workspace.
 func (g *Gateway) own(ctx context.Context, workspace, id string) (batch.Head, error) {
 	head, err := g.ledger.Head(ctx, id)
@@ -142,6 +154,9 @@
 	_, err := g.own(ctx, workspace, id)
 	if err == nil {
 		err = g.ledger.End(ctx, id)
+		if err == nil {
+			g.tell(ctx, id, true)
+		}
 		if sesamepitch.KindOf(err) == sesamepitch.KindUnknown {
 			err = &Refusal{Kind: sesamepitch.KindUnknown, Err: err}
 		}
