Rows keep to the size that is set; named versions are logged; key names in one place

Cause: found by reading: the size of a row stood as a constant in src/batch beside a setting that nobody used, so a platform with smaller rows would have refused jobs; the last part of a key was cut out in three places; Registry.CentreOut and batch.Page.Ended had no user; a named version of weights changes what an instance believes and had no line.

Change: batch.WithRowBytes from the settings, Row.Name, the line "version named", dead code gone. TestRowBytes takes jobs, results and texts through rows of 4 KB, 64 KB and 1 MB and fails on a row or a transaction that the platform would refuse. The check by CentreOut in the registry's test is what the line above it checks by Endpoints.

--- a/src/batch/batch_test.go
+++ b/src/batch/batch_test.go
@@ -137,6 +137,54 @@
 	assert.Assert(t, head.Ended)
 }
 
+// boundedStore fails what the platform's store would refuse.
+type boundedStore struct {
+	*standin.Memory
+	t        *testing.T
+	rowBytes int
+}
+
+func (s boundedStore) Commit(ctx context.Context, txn sesamepitch.Txn) (int64, error) {
+	assert.Check(s.t, len(txn.Checks)+len(txn.Writes) <= 101, "%d entries", len(txn.Checks)+len(txn.Writes))
+	for _, write := range txn.Writes {
+		assert.Check(s.t, len(write.Value) <= s.rowBytes, "%s has %d bytes", write.Key, len(write.Value))
+	}
+	return s.Memory.Commit(ctx, txn)
+}
+
+// TestRowBytes keeps jobs, results and texts in rows of the size that is set.
+func TestRowBytes(t *testing.T) {
+	for _, rowBytes := range []int{4096, 65536, 1 << 20} {
+		t.Run(fmt.Sprint(rowBytes), func(t *testing.T) {
+			ctx := context.Background()
+			store := boundedStore{Memory: standin.NewMemory(), t: t, rowBytes: rowBytes}
+			ledger := batch.NewLedger(sesamepitch.SystemClock{}, store, batch.WithRowBytes(rowBytes))
+			job := jobOf("j", "guild", 60, 10_000)
+			assert.NilError(t, ledger.Accept(ctx, job))
+			head, err := ledger.Head(ctx, "j")
+			assert.NilError(t, err)
+			read, err := ledger.Job(ctx, head)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, read.Items, job.Items)
+			claim, err := ledger.Claim(ctx, "j", "a", 1)
+			assert.NilError(t, err)
+			var results []batch.Result
+			for i := range 60 {
+				results = append(results, batch.Result{ID: fmt.Sprintf("item-%d", i), State: batch.Done, Text: strings.Repeat("x", 9_000), Versions: []int64{3}})
+			}
+			for rest := results; len(rest) > 0; {
+				count := ledger.Fitting(rest)
+				part := batch.Progress{Item: len(rest), Lineage: 1, Events: []string{strings.Repeat("y", ledger.PartBytes())}}
+				assert.NilError(t, claim.Append(ctx, rest[:count], []batch.Progress{part}))
+				rest = rest[count:]
+			}
+			all, err := ledger.All(ctx, "j")
+			assert.NilError(t, err)
+			assert.DeepEqual(t, all, results)
+		})
+	}
+}
+
 func TestReadPages(t *testing.T) {
 	store := standin.NewMemory()
 	ledger := batch.NewLedger(sesamepitch.SystemClock{}, store)
@@ -148,7 +196,7 @@
 		results = append(results, batch.Result{ID: fmt.Sprintf("item-%d", i), State: batch.Done, Text: strings.Repeat("<>&", 30_000), Versions: []int64{3}})
 	}
 	for rest := results; len(rest) > 0; {
-		count := batch.Fitting(rest)
+		count := ledger.Fitting(rest)
 		assert.Assert(t, count > 0)
 		assert.NilError(t, claim.Append(context.Background(), rest[:count], nil))
 		rest = rest[count:]
--- a/src/batch/job.go
+++ b/src/batch/job.go
@@ -73,7 +73,6 @@
 	Total   int
 	Results []Result
 	Next    int
-	Ended   bool
 }
 
 // maxIDLength keeps identifiers within the store's keys.
--- a/src/batch/ledger.go
+++ b/src/batch/ledger.go
@@ -21,8 +21,12 @@
 )
 
 const (
-	// chunkBytes keeps a row's value below the store's limit of 64 KiB.
-	chunkBytes = 60_000
+	// rowBytes is the largest value of a row where nothing else is set, and
+	// rowShare the part of it that is used.
+	rowBytes = 65536
+	rowShare = 0.9
+	// mostChunk leaves room for several rows in a transaction.
+	mostChunk = txnBytes / 6
 	// txnBytes keeps a transaction, in base64, below the store's limit of 1 MB.
 	txnBytes = 600_000
 	// txnRows keeps a transaction, with its mark and ProgressRows, within the
@@ -44,11 +48,26 @@
 	clock sesamepitch.Clock
 	store sesamepitch.Store
 	heads *headCache
+	// chunkBytes is how much of a job or result goes into one row.
+	chunkBytes int
+}
+
+// Option changes a Ledger.
+type Option func(*Ledger)
+
+// WithRowBytes sets the largest value of a row of the store.
+func WithRowBytes(bytes int) Option {
+	return func(l *Ledger) { l.chunkBytes = min(int(rowShare*float64(bytes)), mostChunk) }
 }
 
 // NewLedger returns a ledger in the store.
-func NewLedger(clock sesamepitch.Clock, store sesamepitch.Store) *Ledger {
-	return &Ledger{clock: clock, store: store, heads: newHeadCache(knownHeads)}
+func NewLedger(clock sesamepitch.Clock, store sesamepitch.Store, options ...Option) *Ledger {
+	l := &Ledger{clock: clock, store: store, heads: newHeadCache(knownHeads)}
+	WithRowBytes(rowBytes)(l)
+	for _, option := range options {
+		option(l)
+	}
+	return l
 }
 
 func openKey(id string) string            { return OpenTable + "/" + id + "/" + id }
@@ -62,7 +81,7 @@
 // of the kinds KindUnavailable (the job is surely not accepted), KindUnknown
 // and KindDenied (the ID belongs to another workspace).
 func (l *Ledger) Accept(ctx context.Context, job Job) error {
-	chunks := split(rowstore.Encode(job.Items))
+	chunks := l.split(rowstore.Encode(job.Items))
 	job.Chunks = len(chunks)
 	job.Total = len(job.Items)
 	if err := l.storeChunks(ctx, &job, chunks); err != nil {
@@ -72,27 +91,30 @@
 }
 
 // split cuts content into the values of rows.
-func split(content []byte) [][]byte {
+func (l *Ledger) split(content []byte) [][]byte {
 	var chunks [][]byte
-	for len(content) > chunkBytes {
-		chunks = append(chunks, content[:chunkBytes])
-		content = content[chunkBytes:]
+	for len(content) > l.chunkBytes {
+		chunks = append(chunks, content[:l.chunkBytes])
+		content = content[l.chunkBytes:]
 	}
 	return append(chunks, content)
 }
 
+// chunksPerTxn is how many chunks fit into one transaction with the head.
+func (l *Ledger) chunksPerTxn() int { return min(txnBytes/l.chunkBytes, txnRows) }
+
 // lastChunks returns the number of chunks before those that fit into one
 // transaction with the head.
-func lastChunks(chunks [][]byte) int {
-	return max(0, len(chunks)-txnBytes/chunkBytes)
+func (l *Ledger) lastChunks(chunks [][]byte) int {
+	return max(0, len(chunks)-l.chunksPerTxn())
 }
 
 // storeChunks stores the chunks that do not fit beside the head. They mean
 // nothing without it.
 func (l *Ledger) storeChunks(ctx context.Context, job *Job, chunks [][]byte) error {
-	before := lastChunks(chunks)
-	for start := 0; start < before; start += txnBytes / chunkBytes {
-		end := min(start+txnBytes/chunkBytes, before)
+	before := l.lastChunks(chunks)
+	for start := 0; start < before; start += l.chunksPerTxn() {
+		end := min(start+l.chunksPerTxn(), before)
 		txn := sesamepitch.Txn{Checks: []sesamepitch.Check{{Key: openKey(job.ID)}}}
 		for i := start; i < end; i++ {
 			txn.Writes = append(txn.Writes, sesamepitch.Write{Key: specKey(job.ID, i), Value: chunks[i]})
@@ -114,7 +136,7 @@
 		Checks: []sesamepitch.Check{{Key: openKey(job.ID)}},
 		Writes: []sesamepitch.Write{{Key: openKey(job.ID), Value: rowstore.Encode(job.Head)}},
 	}
-	for i := lastChunks(chunks); i < len(chunks); i++ {
+	for i := l.lastChunks(chunks); i < len(chunks); i++ {
 		txn.Writes = append(txn.Writes, sesamepitch.Write{Key: specKey(job.ID, i), Value: chunks[i]})
 	}
 	unsettled := false
--- a/src/batch/progress.go
+++ b/src/batch/progress.go
@@ -48,7 +48,7 @@
 }
 
 // PartBytes is about how many bytes of events fit into one Progress.
-const PartBytes = chunkBytes / 2
+func (l *Ledger) PartBytes() int { return l.chunkBytes / 2 }
 
 func progressWrites(id string, progress []Progress) []sesamepitch.Write {
 	var writes []sesamepitch.Write
--- a/src/batch/results.go
+++ b/src/batch/results.go
@@ -72,7 +72,7 @@
 	next.Renewal++
 	writes := progressWrites(c.id, progress)
 	for i, result := range results {
-		for k, chunk := range split(rowstore.Encode(result)) {
+		for k, chunk := range c.ledger.split(rowstore.Encode(result)) {
 			writes = append(writes, sesamepitch.Write{Key: resultKey(c.id, c.mark.Count+i, k), Value: chunk})
 		}
 	}
@@ -118,11 +118,11 @@
 }
 
 // Fitting returns how many of the results one Append may list.
-func Fitting(results []Result) int {
+func (l *Ledger) Fitting(results []Result) int {
 	rows, bytes := 0, 0
 	for i, result := range results {
 		size := len(rowstore.Encode(result))
-		rows += 1 + size/chunkBytes
+		rows += 1 + size/l.chunkBytes
 		bytes += size
 		if i > 0 && (rows > txnRows || bytes > txnBytes) {
 			return i
--- a/src/driver/adopt.go
+++ b/src/driver/adopt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
@@ -14,7 +13,7 @@
 func (s *session) apply(ctx context.Context, update registry.Update) {
 	for _, row := range update.Rows {
 		if row.Deleted {
-			s.forgetHead(row.Key[strings.LastIndexByte(row.Key, '/')+1:])
+			s.forgetHead(row.Name())
 			continue
 		}
 		head, err := batch.DecodeHead(row)
--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -35,7 +35,7 @@
 }
 
 func (decoder) Endpoint(row sesamepitch.Row, _ time.Time) (registry.Endpoint, error) {
-	id := row.Key[strings.LastIndexByte(row.Key, '/')+1:]
+	id := row.Name()
 	return registry.Endpoint{ID: id, Address: id, Service: "lm", Centre: "dc", Slots: 4, Versions: map[string]int64{"coach": 1}}, nil
 }
 
--- a/src/driver/engine_test.go
+++ b/src/driver/engine_test.go
@@ -170,7 +170,8 @@
 // those are kept that take longest, and each is kept in its turn.
 func TestKeptTexts(t *testing.T) {
 	const items = 60
-	s := &session{}
+	s := &session{ledger: batch.NewLedger(sesamepitch.SystemClock{}, nil)}
+	half := s.ledger.PartBytes() / 2
 	j := &job{}
 	for i := range items {
 		made := make([]string, 20)
@@ -193,7 +194,7 @@
 	}
 	assert.Equal(t, len(kept)+len(first), items)
 	for _, each := range j.open {
-		each.text.events = append(each.text.events, strings.Repeat("x", batch.PartBytes/2), strings.Repeat("y", batch.PartBytes/2))
+		each.text.events = append(each.text.events, strings.Repeat("x", half), strings.Repeat("y", half))
 	}
 	bytes := 0
 	for _, part := range s.takeProgress(j, 1) {
--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -90,7 +90,7 @@
 	var progress []batch.Progress
 	bytes := 0
 	for _, t := range tasks[:min(batch.ProgressRows, len(tasks))] {
-		part := t.progress()
+		part := t.progress(s.ledger.PartBytes())
 		bytes += part.Size()
 		if bytes > batch.ProgressBytes && len(progress) > 0 {
 			break
@@ -104,7 +104,7 @@
 func (s *session) takePending(j *job) []batch.Result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	count := batch.Fitting(j.pending)
+	count := s.ledger.Fitting(j.pending)
 	taken := j.pending[:count]
 	j.pending = j.pending[count:]
 	return taken
--- a/src/driver/task.go
+++ b/src/driver/task.go
@@ -105,13 +105,14 @@
 	t.kept = 0
 }
 
-// progress returns the part of the text that the table does not have.
-func (t *task) progress() batch.Progress {
+// progress returns the part of the text that the table does not have, up to
+// about a number of bytes.
+func (t *task) progress(limit int) batch.Progress {
 	part := batch.Progress{Item: t.index, Lineage: t.lineage, From: t.kept, Versions: slices.Clone(t.text.versions)}
 	bytes := 0
 	for _, event := range t.text.events[t.kept:] {
 		bytes += len(event)
-		if bytes > batch.PartBytes && len(part.Events) > 0 {
+		if bytes > limit && len(part.Events) > 0 {
 			break
 		}
 		part.Events = append(part.Events, event)
--- a/src/gateway/gateway_test.go
+++ b/src/gateway/gateway_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -37,7 +36,7 @@
 }
 
 func (decoder) Endpoint(row sesamepitch.Row, _ time.Time) (registry.Endpoint, error) {
-	id := row.Key[strings.LastIndexByte(row.Key, '/')+1:]
+	id := row.Name()
 	return registry.Endpoint{ID: id, Address: id, Service: "desk", Centre: string(row.Value), Slots: 6}, nil
 }
 
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -131,7 +131,7 @@
 // build makes the parts that serve callers and drive jobs.
 func (i *Instance) build() {
 	s := i.settings
-	ledger := batch.NewLedger(i.clock, i.store)
+	ledger := batch.NewLedger(i.clock, i.store, batch.WithRowBytes(s.RowBytes))
 	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers)
 	guard := lease.Guard(i.lease, s.Source)
 	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.lease, s.Instance, i.members.IsStrong, driver.WithChecks(i.checks), driver.WithReadable(s.Bounds.Status))
@@ -178,10 +178,15 @@
 }
 
 func (i *Instance) applyOperators(update registry.Update) {
-	before := i.configVersion()
+	before, named := i.configVersion(), i.registry.Versions()
 	for _, fault := range i.registry.ApplyOperators(update.Rows, update.Whole) {
 		i.log.Info("operators' row is unreadable", "cause", fault.Error())
 	}
+	for model, version := range i.registry.Versions() {
+		if version != named[model] {
+			i.log.Info("version named", "model", model, "version", version, "before", named[model])
+		}
+	}
 	after := i.configVersion()
 	i.checks.Check(after >= before, invariant.ConfigNeverOlder, "version", after, "before", before)
 	if after != before {
--- a/src/platform.go
+++ b/src/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 )
 
@@ -15,6 +16,9 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
+// Name returns the last part of the row's key.
+func (r Row) Name() string { return r.Key[strings.LastIndexByte(r.Key, '/')+1:] }
+
 // Check is a condition of a transaction: the row must have this version; zero
 // means it must be absent.
 type Check struct {
--- a/src/registry/members.go
+++ b/src/registry/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 	"sync"
 	"time"
 
@@ -82,7 +81,7 @@
 		m.firstAt = m.clock.Now()
 	}
 	for _, row := range update.Rows {
-		name := row.Key[strings.LastIndexByte(row.Key, '/')+1:]
+		name := row.Name()
 		var decoded member
 		if row.Deleted || json.Unmarshal(row.Value, &decoded) != nil {
 			delete(m.known, name)
--- a/src/registry/registry.go
+++ b/src/registry/registry.go
@@ -111,13 +111,6 @@
 	return maps.Clone(r.endpoints)
 }
 
-// CentreOut tells whether a data centre was taken out.
-func (r *Registry) CentreOut(centre string) bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.out[centre]
-}
-
 // Versions returns the newest named weight version by model.
 func (r *Registry) Versions() map[string]int64 {
 	r.mu.RLock()
@@ -199,7 +192,7 @@
 	present := map[string]bool{}
 	var faults []error
 	for _, row := range rows {
-		id := endpointID(row.Key)
+		id := row.Name()
 		present[id] = true
 		if !r.isNewer(row) {
 			continue
@@ -264,13 +257,3 @@
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
-
-// endpointID is the last part of a row's key.
-func endpointID(key string) string {
-	for i := len(key) - 1; i >= 0; i-- {
-		if key[i] == '/' {
-			return key[i+1:]
-		}
-	}
-	return key
-}
--- a/src/registry/registry_test.go
+++ b/src/registry/registry_test.go
@@ -94,7 +94,6 @@
 
 	r.ApplyOperators([]sesamepitch.Row{{Key: "op//out/dc-b", Version: 5}}, false)
 	assert.Equal(t, len(r.Endpoints("lm")), 0)
-	assert.Assert(t, r.CentreOut("dc-b"))
 	r.ApplyOperators([]sesamepitch.Row{{Key: "op//out/dc-b", Version: 6, Deleted: true}}, false)
 	assert.DeepEqual(t, ids(r.Endpoints("lm")), map[string]bool{"b": true})
 
