A change of the document that may still take effect is not said to have failed

Change: such a change ends as unknown, with the advice to read the document first. TestLateCommit: "unavailable" before, "unknown" after, for commits lost before and carried out late.

--- a/src/document/document_test.go
+++ b/src/document/document_test.go
@@ -1,6 +1,7 @@
 package document_test
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"strings"
@@ -8,6 +9,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/document"
+	"sesamepitch/src/standin"
 
 	"gotest.tools/v3/assert"
 )
@@ -30,6 +32,74 @@
   - {name: body_bytes, value: 1000}
 `
 
+// blobs keeps objects in memory.
+type blobs map[string][]byte
+
+func (b blobs) Put(_ context.Context, name string, content []byte) error {
+	b[name] = content
+	return nil
+}
+
+func (b blobs) Get(_ context.Context, name string) ([]byte, error) { return b[name], nil }
+
+func (b blobs) Delete(_ context.Context, name string) error {
+	delete(b, name)
+	return nil
+}
+
+// memoryPlatform is a platform of which the table and the objects are used.
+type memoryPlatform struct {
+	sesamepitch.Platform
+	table   *standin.Memory
+	objects blobs
+}
+
+func (p memoryPlatform) Get(ctx context.Context, key string) (sesamepitch.Row, error) {
+	return p.table.Get(ctx, key)
+}
+
+func (p memoryPlatform) Commit(ctx context.Context, txn sesamepitch.Txn) (int64, error) {
+	return p.table.Commit(ctx, txn)
+}
+
+func (p memoryPlatform) Objects() sesamepitch.Objects { return p.objects }
+
+// TestLateCommit has the answers of commits lost, and some of them carried out
+// later: a change that may still take effect is not said to have failed.
+func TestLateCommit(t *testing.T) {
+	mine, err := document.Parse([]byte(good))
+	assert.NilError(t, err)
+	cases := []struct {
+		name    string
+		outcome standin.Outcome
+		kind    sesamepitch.Kind
+		applied bool
+	}{
+		{"lost before", standin.LostBefore, sesamepitch.KindUnknown, false},
+		{"lost after", standin.LostAfter, "", true},
+		{"carried out later", standin.Late, sesamepitch.KindUnknown, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := standin.NewMemory()
+			table.SetFault(func(op, _ string) standin.Outcome {
+				if op == "commit" {
+					return c.outcome
+				}
+				return standin.Served
+			})
+			store := document.NewStore(memoryPlatform{table: table, objects: blobs{}})
+			_, err := store.Accept(context.Background(), nil, mine, "a")
+			assert.Equal(t, sesamepitch.KindOf(err), c.kind, "%v", err)
+			table.SetFault(nil)
+			table.Settle()
+			head, err := store.Head(context.Background())
+			assert.NilError(t, err)
+			assert.Equal(t, head.Version == 1, c.applied)
+		})
+	}
+}
+
 func TestParse(t *testing.T) {
 	cases := []struct{ name, old, with, fault string }{
 		{"good", "", "", ""},
--- a/src/document/store.go
+++ b/src/document/store.go
@@ -132,15 +132,24 @@
 	if err := Check(mine); err != nil {
 		return nil, err
 	}
+	unsettled := false
 	for range applyRetries {
 		next, err := s.acceptOnce(ctx, base, mine, author)
 		if err == nil || sesamepitch.KindOf(err) != sesamepitch.KindConflict || !isRace(err) {
 			return next, err
 		}
+		unsettled = unsettled || errors.Is(err, errUnsettled)
+	}
+	if unsettled {
+		return nil, &Error{Op: "document.apply", Kind: sesamepitch.KindUnknown, Err: errUnsettled}
 	}
 	return nil, &Error{Op: "document.apply", Kind: sesamepitch.KindUnavailable, Err: errors.New("too many changes at the same time; apply again")}
 }
 
+// errUnsettled means that a commit has not taken effect so far and may do so
+// later.
+var errUnsettled = errors.New("a change may still take effect; read the document before it is applied again")
+
 // isRace tells a lost race for the head, which is tried again, from a
 // conflict of content.
 func isRace(err error) bool {
@@ -224,7 +233,7 @@
 	case err != nil:
 		return cause
 	case version == 0:
-		return &rowstore.Error{Op: "document.confirm", Kind: sesamepitch.KindConflict, Err: cause}
+		return &rowstore.Error{Op: "document.confirm", Kind: sesamepitch.KindConflict, Err: fmt.Errorf("%w: %w", errUnsettled, cause)}
 	case stored.Digest == delta.Digest && stored.Author == delta.Author:
 		return nil
 	default:
