--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -61,7 +61,7 @@
 	restUntil time.Time
 
 	mu sync.Mutex
-	// current is the running session, as far as it takes notices; nil if there is
+	// current is the running session, as far as it takes hints; nil if there is
 	// none.
 	current *active
 }
@@ -111,7 +111,7 @@
 	d.stop(a)
 }
 
-// stop ends a session; it gets no more notices.
+// stop ends a session; it gets no more hints.
 func (d *Driver) stop(a *active) {
 	d.setCurrent(nil)
 	a.cancel()
--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -309,9 +309,9 @@
 	return failure{sesamepitch.KindUnavailable, nil}
 }
 
-// TestNotice hears nothing of the feed: jobs are taken over and ended by notices
-// alone, and an old notice does not bring an ended job back.
-func TestNotice(t *testing.T) {
+// TestHint hears nothing of the feed: jobs are taken over and ended by hints
+// alone, and an old hint does not bring an ended job back.
+func TestHint(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, 1)
 	r.store.SetFault(func(op, _ string) standin.Outcome {
@@ -321,11 +321,11 @@
 		return standin.Served
 	})
 	d := r.newDriver("a")
-	notifier := driver.NewNotifier(sesamepitch.SystemClock{}, logr.Discard(), d, noCaller{})
+	hinter := driver.NewHinter(sesamepitch.SystemClock{}, logr.Discard(), d, noCaller{})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
 	go func() { ended <- d.Run(ctx) }()
-	go func() { ended <- notifier.Run(ctx) }()
+	go func() { ended <- hinter.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		<-ended
@@ -339,7 +339,7 @@
 		head, err := r.ledger.Head(ctx, id)
 		assert.NilError(t, err)
 		head.Ended = over
-		notifier.Notify(head)
+		hinter.Tell(head)
 	}
 	tell("j", false)
 	tell("endless", false)
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -87,7 +87,7 @@
 	rpc      *rpc.Server
 	lease    *lease.Lease
 	driver   *driver.Driver
-	notifier *driver.Notifier
+	hinter   *driver.Hinter
 	gateway  *gateway.Gateway
 	meter    *billing.Meter
 	reporter *billing.Reporter
@@ -135,11 +135,11 @@
 	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers)
 	guard := lease.Guard(i.lease, s.Source)
 	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.lease, s.Instance, i.members.IsStrong, driver.WithChecks(i.checks), driver.WithReadable(s.Bounds.Status))
-	i.notifier = driver.NewNotifier(i.clock, i.log, i.driver, i.peers)
+	i.hinter = driver.NewHinter(i.clock, i.log, i.driver, i.peers)
 	writer := s.Instance + "@" + i.clock.Now().Format("150405.000")
 	i.meter = billing.NewMeter(i.clock, i.log, i.store, s.Bounds.ReportWindow, writer)
 	i.reporter = billing.NewReporter(i.clock, i.log, i.store, i.adapter.Duties(guard), i.lease, s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate, billing.WithChecks(i.checks))
-	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(i.notifier.Notify))
+	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(i.hinter.Tell))
 	i.metrics = newMetrics(i)
 }
 
@@ -152,7 +152,7 @@
 		supervisor.NewWorker("members-follower", i.follow(registry.MemberTable, i.members.Apply)),
 		supervisor.NewWorker("members", i.members.Run),
 		supervisor.NewWorker("driver", i.driver.Run),
-		supervisor.NewWorker("notices", i.notifier.Run),
+		supervisor.NewWorker("hints", i.hinter.Run),
 		supervisor.NewWorker("usage-flush", i.meter.Run),
 		supervisor.NewWorker("usage-reports", i.reporter.Run),
 		supervisor.NewWorker("connections", i.dropConnections),
--- a/src/relay/relay.go
+++ b/src/relay/relay.go
@@ -21,20 +21,13 @@
 	peersTried = 2
 )
 
-// Caller calls a method of a peer at an address; peer.Dialer is one.
-type Caller interface {
-	// Call fails with KindUnavailable if the call was not sent and with
-	// KindUnknown if its answer is missing.
-	Call(ctx context.Context, address, method string, args, reply any) error
-}
-
 // Store is a sesamepitch.Store that goes the direct way while it works and
 // through peers otherwise.
 type Store struct {
 	clock  sesamepitch.Clock
 	log    logr.Logger
 	direct sesamepitch.Store
-	caller Caller
+	caller sesamepitch.PeerCaller
 	peers  func() []string
 
 	mu       sync.Mutex
@@ -45,7 +38,7 @@
 }
 
 // New returns a store; peers lists the addresses of other instances.
-func New(clock sesamepitch.Clock, log logr.Logger, direct sesamepitch.Store, caller Caller, peers func() []string) *Store {
+func New(clock sesamepitch.Clock, log logr.Logger, direct sesamepitch.Store, caller sesamepitch.PeerCaller, peers func() []string) *Store {
 	return &Store{clock: clock, log: log, direct: direct, caller: caller, peers: peers}
 }
 
