--- a/src/driver/weights.go
+++ b/src/driver/weights.go
@@ -117,10 +117,10 @@
 	return ""
 }
 
-// plan returns the loads to order now, the most urgent first: one engine for
-// each model that has none for its next step, then engines whose version is
-// older than needed, then engines for models whose items wait, then engines
-// that are merely behind, as far as loads are free.
+// plan returns the loads to order now, the most urgent first: engines whose
+// version is older than needed, and one for each model that has none for its
+// next step; then engines for models whose items wait; then engines that are
+// merely behind, as far as loads are free.
 func plan(in planInput, home map[string]string) []load {
 	room := loadsAtOnce(len(in.engines)) - loadingNow(in.engines, in.now)
 	if room <= 0 {
@@ -185,7 +185,8 @@
 	return e.running < other.running
 }
 
-// expired lists home engines whose version is older than needed, the models with the fewest fresh engines first.
+// expired lists home engines whose version is older than needed, the models
+// with the fewest fresh engines first.
 func expired(in planInput, home map[string]string) []ranked {
 	fresh := map[string]int{}
 	var wanted []load
--- a/src/gateway/gateway_test.go
+++ b/src/gateway/gateway_test.go
@@ -121,6 +121,35 @@
 	}
 }
 
+// TestGathering replays what the looks of a read find, 40 ms apart: a read that
+// has waited is answered with the results that end together.
+func TestGathering(t *testing.T) {
+	cases := []struct {
+		name string
+		// counts are what each look finds, answer is the look that is answered.
+		counts []int
+		answer int
+	}{
+		{"results are there", []int{3}, 0},
+		{"one comes alone", []int{0, 0, 1, 1, 1}, 4},
+		{"several end together", []int{0, 1, 3, 6, 8, 8, 8}, 6},
+		{"they keep coming", []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}, 8},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gathering{}
+			now := time.Now()
+			for i, count := range c.counts {
+				assert.Equal(t, g.isDone(now, count), i == c.answer, "look %d", i)
+				if i == c.answer {
+					return
+				}
+				now = now.Add(readPause)
+			}
+		})
+	}
+}
+
 func failed(kind sesamepitch.Kind) (sesamepitch.Answer, error) {
 	return sesamepitch.Answer{}, &Error{Op: "test", Kind: kind}
 }
--- a/src/gateway/jobs.go
+++ b/src/gateway/jobs.go
@@ -21,6 +21,11 @@
 	readTime = 2 * time.Second
 	// readPause is the time between looks of a waiting read.
 	readPause = 40 * time.Millisecond
+	// A waiting read that a result has ended is answered once no other has come
+	// for gatherQuiet, after gatherMost at the latest: its caller comes back only
+	// after a pause, and results of equal length end together.
+	gatherQuiet = 80 * time.Millisecond
+	gatherMost  = 250 * time.Millisecond
 )
 
 // Submit accepts a batch job once and whole.
@@ -110,13 +115,15 @@
 		g.log.Info("job not read", "job", id, "workspace", workspace, "cause", err.Error())
 		return batch.Page{}, err
 	}
+	gathered := gathering{}
 	for {
 		page, err := g.ledger.Read(ctx, id, after)
 		if err != nil {
 			g.log.Info("job not read", "job", id, "workspace", workspace, "cause", err.Error())
 			return page, asRefusal(err)
 		}
-		if len(page.Results) > 0 || page.Next >= page.Total || !g.clock.Now().Add(readPause).Before(until) {
+		now := g.clock.Now()
+		if page.Next >= page.Total || !now.Add(readPause).Before(until) || gathered.isDone(now, len(page.Results)) {
 			return page, nil
 		}
 		select {
@@ -127,6 +134,34 @@
 	}
 }
 
+// gathering decides when a waiting read is answered.
+type gathering struct {
+	// waited is set once a look has found no result.
+	waited bool
+	count  int
+	// firstAt and lastAt are when results were first and last found to be new.
+	firstAt, lastAt time.Time
+}
+
+// isDone takes a look's number of results and tells whether to answer: at once
+// if there were some at the first look.
+func (g *gathering) isDone(now time.Time, count int) bool {
+	if count == 0 {
+		g.waited = true
+		return false
+	}
+	if !g.waited {
+		return true
+	}
+	if g.count == 0 {
+		g.firstAt = now
+	}
+	if count > g.count {
+		g.count, g.lastAt = count, now
+	}
+	return now.Sub(g.lastAt) >= gatherQuiet || now.Sub(g.firstAt) >= gatherMost
+}
+
 // ItemBody returns the body of an item.
 func (g *Gateway) ItemBody(ctx context.Context, workspace, id, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTime)
