Hints over net/rpc have a test; TestHint waits for what it is about

The way over net/rpc was shown by no test of its own.

Not traced by a log (the test has none): read off the test, which ended the job without waiting for its run, while its other job, told first, was already whole.

--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"net/rpc"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +15,7 @@
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 	"sesamepitch/src/driver"
+	"sesamepitch/src/peer"
 	"sesamepitch/src/registry"
 	"sesamepitch/src/standin"
 
@@ -176,16 +179,17 @@
 	return r
 }
 
-func (r *rig) newDriver(instance string) *driver.Driver {
+// newDriver returns a driver of an instance that peers reach at an address.
+func (r *rig) newDriver(instance, address string) *driver.Driver {
 	clock := sesamepitch.SystemClock{}
-	held := driver.NewLease(clock, r.store, instance, "")
+	held := driver.NewLease(clock, r.store, instance, address)
 	return driver.New(clock, logr.Discard(), r.store, r.ledger, r.known, r.engines, r.engines, held, instance, func() bool { return true })
 }
 
 // drive runs a driver of an instance until the returned function is called;
 // leave hands over first.
 func (r *rig) drive(instance string) (leave, kill func()) {
-	d := r.newDriver(instance)
+	d := r.newDriver(instance, "")
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(ctx) }()
@@ -302,6 +306,17 @@
 	}
 }
 
+// eventually fails unless a condition holds within five seconds.
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatal("not in time")
+}
+
 // noCaller reaches no peer.
 type noCaller struct{}
 
@@ -320,7 +335,7 @@
 		}
 		return standin.Served
 	})
-	d := r.newDriver("a")
+	d := r.newDriver("a", "")
 	hinter := driver.NewHinter(sesamepitch.SystemClock{}, logr.Discard(), d, noCaller{})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
@@ -334,15 +349,18 @@
 	r.submit("j", 1, "x")
 	r.engines.scripts["z"] = []script{{last: 100, pace: 100 * time.Millisecond}}
 	r.submit("endless", 1, "z")
-	time.Sleep(500 * time.Millisecond)
 	tell := func(id string, over bool) {
 		head, err := r.ledger.Head(ctx, id)
 		assert.NilError(t, err)
 		head.Ended = over
 		hinter.Tell(head)
 	}
-	tell("j", false)
-	tell("endless", false)
+	// Until the driver has its lease, hints are ignored.
+	eventually(t, func() bool {
+		tell("j", false)
+		tell("endless", false)
+		return len(r.engines.runsOf("z")) > 0
+	})
 	assert.Equal(t, r.results("j", 1, 3*time.Second)["x"].Text, textOf("x"))
 	tell("endless", true)
 	tell("endless", false)
@@ -353,6 +371,53 @@
 	assert.Equal(t, r.engines.at["e0"], 0, "the ended job's run is over")
 }
 
+// TestHintFromPeer has another instance than the driver's accept a job: the
+// driver hears of it over net/rpc, without the feed.
+func TestHintFromPeer(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1)
+	r.store.SetFault(func(op, _ string) standin.Outcome {
+		if op == "changes" || op == "snapshot" {
+			return standin.Refused
+		}
+		return standin.Served
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	drives, accepts := r.newDriver("a", listener.Addr().String()), r.newDriver("b", "")
+	server := rpc.NewServer()
+	assert.NilError(t, driver.Register(server, drives))
+	peers := peer.NewDialer("")
+	hinter := driver.NewHinter(sesamepitch.SystemClock{}, logr.Discard(), accepts, peers)
+	ctx, cancel := context.WithCancel(context.Background())
+	tasks := []func(context.Context) error{
+		func(ctx context.Context) error { return peers.Serve(ctx, listener, server) }, hinter.Run, drives.Run,
+	}
+	ended := make(chan error, len(tasks)+1)
+	for _, task := range tasks {
+		go func() { ended <- task(ctx) }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range len(tasks) + 1 {
+			<-ended
+		}
+	})
+	eventually(t, func() bool {
+		row, err := r.store.Get(ctx, driver.LeaseKey)
+		return err == nil && row.Version > 0
+	})
+	go func() { ended <- accepts.Run(ctx) }()
+	r.submit("j", 1, "x")
+	head, err := r.ledger.Head(ctx, "j")
+	assert.NilError(t, err)
+	eventually(t, func() bool {
+		hinter.Tell(head)
+		return len(r.engines.runsOf("x")) > 0
+	})
+	assert.Equal(t, r.results("j", 1, 3*time.Second)["x"].Text, textOf("x"))
+}
+
 // TestHandOver stops a driver in the middle of texts: the next one goes on
 // from where it was.
 func TestHandOver(t *testing.T) {
