A draining daemon does not wait for endpoints; an engine's order count can be taken back

Ruled out: a hang (samples were placed and refused as stale up to the kill). Samples that wait for an endpoint now lose patience when the daemon drains, and the trainer resumes elsewhere; what runs is finished.

A count is now taken back by a report that is younger than the last acceptance (reportLag). The pure parts of sending an order stand in delivery.go.

--- /dev/null
+++ b/src/driver/delivery.go
@@ -0,0 +1,61 @@
+package driver
+
+import "time"
+
+// orderCount is how many orders an engine has accepted. An order names it, so
+// that an older one that arrives late is refused.
+type orderCount struct {
+	count int64
+	// known is set once the engine was asked.
+	known bool
+	// acceptedAt is when the engine last accepted an order from here.
+	acceptedAt time.Time
+}
+
+// accepted counts an order that the engine took. A repeat of an order that is
+// still being carried out is answered in the same way but not counted by the
+// engine, so a later report may take it back.
+func (c *orderCount) accepted(now time.Time) {
+	c.count++
+	c.acceptedAt = now
+}
+
+// reported takes over the count of a report. While the report may be older than
+// the last accepted order, a lower count says nothing.
+func (c *orderCount) reported(count int64, now time.Time) {
+	if c.known && count < c.count && now.Sub(c.acceptedAt) < reportLag {
+		return
+	}
+	c.count, c.known = count, true
+}
+
+// delivery is how far an order has come.
+type delivery struct {
+	// sentAt is when the order was sent last; zero if it must be sent again.
+	sentAt   time.Time
+	accepted bool
+	// busy is set while the engine carries out an order.
+	busy bool
+}
+
+// isDue tells whether to send the order now.
+func (d *delivery) isDue(now time.Time) bool {
+	return !d.accepted && !d.busy && (d.sentAt.IsZero() || now.Sub(d.sentAt) > orderAgain)
+}
+
+// pause is the time until the next look at the engine.
+func (d *delivery) pause(now time.Time) time.Duration {
+	if !d.accepted {
+		return loadPoll
+	}
+	return max(firstLook-now.Sub(d.sentAt), loadPoll)
+}
+
+// reported takes a report that does not show the weights yet. An engine that
+// accepted the order long ago and does nothing has dropped it.
+func (d *delivery) reported(busy bool, now time.Time) {
+	d.busy = busy
+	if !busy && d.accepted && now.Sub(d.sentAt) > firstLook+reportLag {
+		d.accepted = false
+	}
+}
--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -59,6 +59,12 @@
 	versions map[string]int64
 	loads    int
 	most     int
+	// orders counts the accepted orders by engine. An order that names another
+	// count is refused. The first uncounted ones are answered like repeats of an
+	// order that is being carried out: accepted and not counted.
+	orders    map[string]int64
+	uncounted int
+	refused   int
 }
 
 // script is what one run does: it makes events up to last and ends with err,
@@ -75,7 +81,7 @@
 var whole = script{last: textEvents, err: sesamepitch.ErrComplete}
 
 func newEngines() *engines {
-	return &engines{scripts: map[string][]script{}, runs: map[string][]int64{}, at: map[string]int{}, versions: map[string]int64{}}
+	return &engines{scripts: map[string][]script{}, runs: map[string][]int64{}, at: map[string]int{}, versions: map[string]int64{}, orders: map[string]int64{}}
 }
 
 // failure is an error of a kind.
@@ -108,15 +114,24 @@
 func (e *engines) Order(_ context.Context, to sesamepitch.Destination, order sesamepitch.WeightOrder) (bool, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if order.After != e.orders[to.ID] {
+		e.refused++
+		return false, failure{sesamepitch.KindConflict, errors.New("another count of orders")}
+	}
 	e.loads++
 	e.versions[to.ID] = order.Version
+	if e.uncounted > 0 {
+		e.uncounted--
+		return false, nil
+	}
+	e.orders[to.ID]++
 	return false, nil
 }
 
 func (e *engines) Report(_ context.Context, to sesamepitch.Destination) (sesamepitch.EngineReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return sesamepitch.EngineReport{Versions: map[string]int64{"coach": max(e.versions[to.ID], 1)}}, nil
+	return sesamepitch.EngineReport{Versions: map[string]int64{"coach": max(e.versions[to.ID], 1)}, Orders: e.orders[to.ID]}, nil
 }
 
 func (e *engines) runsOf(item string) []int64 {
@@ -334,6 +349,22 @@
 	return failure{sesamepitch.KindUnavailable, nil}
 }
 
+// TestRepeatedOrder has an engine accept an order without counting it, as it
+// does with a repeat of one that it is carrying out. It takes the next version
+// all the same.
+func TestRepeatedOrder(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1)
+	r.engines.uncounted = 1
+	r.drive("a")
+	for version := int64(2); version <= 3; version++ {
+		r.known.ApplyOperators([]sesamepitch.Row{{Key: "op//version", Version: version}}, false)
+		job := fmt.Sprint("j", version)
+		r.submit(job, version, "x"+job)
+		r.results(job, 1, 8*time.Second)
+	}
+}
+
 // TestHint hears nothing of the feed: jobs are taken over and ended by hints
 // alone, and an old hint does not bring an ended job back.
 func TestHint(t *testing.T) {
--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -52,11 +52,9 @@
 	target  int64
 	// readyAt is when the weights are expected to be loaded, zero before the
 	// engine has accepted the order. From then on one item at a time finds out.
-	readyAt  time.Time
-	scouting bool
-	// orders is the number of orders that the engine has accepted, unknownOrders
-	// before it was asked.
-	orders       int64
+	readyAt      time.Time
+	scouting     bool
+	orders       orderCount
 	suspectUntil time.Time
 	// misses counts connections that failed and silences in a row.
 	misses    int
@@ -73,11 +71,8 @@
 	prompts []string
 }
 
-const (
-	// keptPrompts bounds the prompts remembered for an engine.
-	keptPrompts   = 64
-	unknownOrders = -1
-)
+// keptPrompts bounds the prompts remembered for an engine.
+const keptPrompts = 64
 
 func newEngine(entry registry.Endpoint) *engine {
 	e := &engine{}
@@ -88,7 +83,7 @@
 // reset forgets all that an earlier process of the engine held.
 func (e *engine) reset(entry registry.Endpoint) {
 	running := e.running
-	*e = engine{entry: entry, listed: true, running: running, versions: map[string]int64{}, orders: unknownOrders}
+	*e = engine{entry: entry, listed: true, running: running, versions: map[string]int64{}}
 	e.learn(entry.Versions)
 }
 
--- a/src/driver/engine_test.go
+++ b/src/driver/engine_test.go
@@ -496,7 +496,7 @@
 	assert.Equal(t, e.versions["a"], int64(7), "an older entry takes nothing back")
 	e.update(registry.Endpoint{ID: "e", Service: "lm", Slots: 12, Born: 9, Versions: map[string]int64{"a": 5}})
 	assert.Equal(t, e.versions["a"], int64(5))
-	assert.Equal(t, e.orders, int64(unknownOrders))
+	assert.Assert(t, !e.orders.known)
 	assert.Equal(t, e.running, 2)
 }
 
@@ -561,3 +561,31 @@
 	}
 	assert.Assert(t, low > 850 && low < 950, "%d of 1000 below 0.9", low)
 }
+
+// TestOrderCount takes acceptances and reports in an order in which they come
+// and compares the count that the next order would name.
+func TestOrderCount(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	cases := []struct {
+		name  string
+		steps func(c *orderCount)
+		count int64
+		known bool
+	}{
+		{"never asked", func(*orderCount) {}, 0, false},
+		{"asked", func(c *orderCount) { c.reported(3, at(0)) }, 3, true},
+		{"accepted since", func(c *orderCount) { c.reported(3, at(0)); c.accepted(at(10)) }, 4, true},
+		{"an older report", func(c *orderCount) { c.reported(3, at(0)); c.accepted(at(10)); c.reported(3, at(300)) }, 4, true},
+		{"a repeat that was not counted", func(c *orderCount) { c.reported(3, at(0)); c.accepted(at(10)); c.reported(3, at(700)) }, 3, true},
+		{"another holder's order", func(c *orderCount) { c.reported(3, at(0)); c.reported(5, at(10)) }, 5, true},
+		{"accepted by a process before", func(c *orderCount) { c.accepted(at(0)); c.reported(0, at(10)) }, 0, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var counted orderCount
+			c.steps(&counted)
+			assert.Equal(t, counted.count, c.count)
+			assert.Equal(t, counted.known, c.known)
+		})
+	}
+}
--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -29,6 +29,8 @@
 	loadLimit = 8 * time.Second
 	// orderAgain is the time after which an order without an answer is repeated.
 	orderAgain = 1500 * time.Millisecond
+	// reportLag is how old an engine's report may be.
+	reportLag = 600 * time.Millisecond
 	// leaseLead is how long the lease must still last for an order to go.
 	leaseLead = 600 * time.Millisecond
 )
@@ -98,11 +100,10 @@
 	l.loads[load{model: order.model, version: order.version}]++
 	l.mu.Unlock()
 	to := sesamepitch.Destination{ID: e.entry.ID, Address: e.entry.Address}
-	after := e.orders
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
-		loaded := l.carryOut(ctx, s, e, to, order, after)
+		loaded := l.carryOut(ctx, s, e, to, order)
 		s.endLoad(e, order, loaded)
 	}()
 }
@@ -127,56 +128,47 @@
 	return e.versions[order.model] >= order.version
 }
 
-// accepted notes when the weights are expected to be loaded, and the number of
-// orders that the engine has accepted.
-func (s *session) accepted(e *engine, at time.Time, orders int64) {
+// accepted notes that the engine took an order and when the weights are expected
+// to be loaded.
+func (s *session) accepted(e *engine, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e.orders = max(e.orders, orders)
+	e.orders.accepted(s.clock.Now())
 	if e.loading != "" {
 		e.readyAt = at
 	}
 }
 
+// ordersOf returns how many orders an engine has accepted; known is false before
+// it was asked.
+func (s *session) ordersOf(e *engine) (count int64, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return e.orders.count, e.orders.known
+}
+
 // carryOut sends an order until it is accepted and waits until it is done.
-func (l *loader) carryOut(ctx context.Context, s *session, e *engine, to sesamepitch.Destination, order load, after int64) bool {
+func (l *loader) carryOut(ctx context.Context, s *session, e *engine, to sesamepitch.Destination, order load) bool {
 	started := l.clock.Now()
-	sentAt := time.Time{}
-	accepted, busy := false, false
-	if after == unknownOrders {
+	if _, known := s.ordersOf(e); !known {
 		report, err := l.control.Report(ctx, to)
 		if err != nil {
 			l.log.Info("engine gives no report", "engine", to.ID, "cause", err.Error())
 			return false
 		}
 		s.learnReport(e, report)
-		after = report.Orders
 	}
+	var progress delivery
 	for l.clock.Now().Sub(started) < loadLimit && ctx.Err() == nil {
-		if !accepted && !busy && (sentAt.IsZero() || l.clock.Now().Sub(sentAt) > orderAgain) {
+		if progress.isDue(l.clock.Now()) {
 			if !l.mayOrder() {
 				return false
 			}
-			sentAt = l.clock.Now()
-			_, until, _ := l.lease.Held()
-			l.checks.Check(l.clock.Now().Before(until), invariant.OrderUnderLease, "engine", to.ID, "fence", l.epoch, "until", until)
-			holds, err := l.send(ctx, to, order, after)
-			if holds {
+			if holds := l.deliver(ctx, s, e, to, order, &progress); holds {
 				return true
 			}
-			accepted = err == nil
-			if accepted {
-				s.accepted(e, sentAt.Add(l.usualTime()), after+1)
-			}
-			if sesamepitch.KindOf(err) == sesamepitch.KindConflict {
-				sentAt = time.Time{} // the report tells with which count to send again
-			}
-		}
-		if accepted {
-			l.pause(ctx, max(firstLook-l.clock.Now().Sub(sentAt), loadPoll))
-		} else {
-			l.pause(ctx, loadPoll)
 		}
+		l.pause(ctx, progress.pause(l.clock.Now()))
 		if s.isLoaded(e, order) {
 			l.log.Info("weights loaded", "engine", to.ID, "model", order.model, "version", order.version, "by", "item")
 			return true
@@ -187,24 +179,36 @@
 			continue
 		}
 		s.learnReport(e, report)
-		busy = report.Busy
 		if report.Versions[order.model] >= order.version {
 			l.log.Info("weights loaded", "engine", to.ID, "model", order.model, "version", order.version, "by", "report",
 				"ms", l.clock.Now().Sub(started).Milliseconds())
 			return true
 		}
-		if report.Orders > after {
-			if !report.Busy && accepted && l.clock.Now().Sub(sentAt) > firstLook+loadPoll {
-				accepted = false
-			}
-			after = report.Orders
-		}
+		progress.reported(report.Busy, l.clock.Now())
 	}
 	l.log.Info("weights not loaded", "engine", to.ID, "model", order.model, "version", order.version,
 		"ms", l.clock.Now().Sub(started).Milliseconds())
 	return false
 }
 
+// deliver sends an order once and notes its outcome; holds tells that the
+// engine has the weights already.
+func (l *loader) deliver(ctx context.Context, s *session, e *engine, to sesamepitch.Destination, order load, progress *delivery) (holds bool) {
+	sentAt := l.clock.Now()
+	progress.sentAt = sentAt
+	after, _ := s.ordersOf(e)
+	holds, err := l.send(ctx, to, order, after)
+	switch {
+	case holds:
+	case err == nil:
+		progress.accepted = true
+		s.accepted(e, sentAt.Add(l.usualTime()))
+	case sesamepitch.KindOf(err) == sesamepitch.KindConflict:
+		progress.sentAt = time.Time{} // the report tells with which count to send again
+	}
+	return holds
+}
+
 // send sends an order once.
 func (l *loader) send(ctx context.Context, to sesamepitch.Destination, order load, after int64) (bool, error) {
 	_, until, _ := l.lease.Held()
@@ -229,5 +233,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.learn(report.Versions)
-	e.orders = max(e.orders, report.Orders)
+	e.orders.reported(report.Orders, s.clock.Now())
 }
--- a/src/pool/client.go
+++ b/src/pool/client.go
@@ -79,6 +79,9 @@
 	// Limiter limits the request to some endpoints; nil if it may use any.
 	Limiter    Limiter
 	MinVersion int64
+	// Patience ends the wait for a stream, but not the stream; nil if only the
+	// request's own end does.
+	Patience context.Context
 
 	// ctx is that of the whole request, also while it waits in one cell.
 	ctx   context.Context
@@ -193,6 +196,8 @@
 func (c *Client) acquire(ctx context.Context, ask *Ask) (*Stream, error) {
 	started := c.clock.Now()
 	ask.ctx, ask.asked = ctx, started
+	ctx, cancel := ask.waiting(ctx)
+	defer cancel()
 	last := Reply{State: Empty, Reason: "no cell serves the pool"}
 	for {
 		if err := ctx.Err(); err != nil {
@@ -227,6 +232,20 @@
 	}
 }
 
+// waiting returns the context of the wait for a stream; the stream itself goes on
+// with the request's.
+func (a *Ask) waiting(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if a.Patience == nil {
+		return ctx, cancel
+	}
+	stop := context.AfterFunc(a.Patience, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // attempt asks the cells once, and waits in one of them if all are full. A crash
 // of the content meanwhile ends it, since that changes where it may run.
 func (c *Client) attempt(ctx context.Context, ask *Ask, waited time.Duration) (*Stream, Reply) {
--- a/src/rollout/rollout.go
+++ b/src/rollout/rollout.go
@@ -48,6 +48,9 @@
 	Limiter pool.Limiter
 	// Placed is told each endpoint that the request is sent to.
 	Placed func(endpoint string)
+	// Patience ends the wait for a stream, but no stream that runs; nil if only
+	// the request's own end does.
+	Patience context.Context
 }
 
 // Generation is a whole answer and what made it.
@@ -175,7 +178,7 @@
 		Label: request.ID, Pool: request.Model, Workspace: request.Workspace, Weight: request.Weight,
 		Interactive: request.Interactive, Tokens: request.MaxTokens, Deadline: request.Deadline,
 		Prefix:      sesamepitch.Fingerprint(request.Prompt[:min(len(request.Prompt), prefixBytes)]),
-		Fingerprint: fingerprint, Urgent: request.Urgent, Thrifty: request.Thrifty, Avoid: avoid, Limiter: request.Limiter,
+		Fingerprint: fingerprint, Urgent: request.Urgent, Thrifty: request.Thrifty, Avoid: avoid, Limiter: request.Limiter, Patience: request.Patience,
 		Suspect: r.notices.Crashes(fingerprint) > 0, MinVersion: request.MinVersion(),
 	}
 }
--- a/src/step/driver.go
+++ b/src/step/driver.go
@@ -88,7 +88,7 @@
 		if err := d.flush(ctx); err != nil {
 			return "", err
 		}
-		if d.m.draining.Load() && len(d.under) == 0 && len(d.ready) == 0 && len(d.missing) > 0 && d.allPassed() {
+		if d.m.draining() && len(d.under) == 0 && len(d.ready) == 0 && len(d.missing) > 0 && d.allPassed() {
 			return Resume, nil
 		}
 	}
--- a/src/step/manager.go
+++ b/src/step/manager.go
@@ -51,8 +51,10 @@
 	generator Generator
 	run       string
 	length    time.Duration
-	draining  atomic.Bool
-	running   atomic.Int64
+	// serving ends when the daemon drains.
+	serving context.Context
+	drain   context.CancelFunc
+	running atomic.Int64
 	// downSince and downAt are when the table was first and last found out of
 	// reach, in nanoseconds; zero if it answered since.
 	downSince atomic.Int64
@@ -64,11 +66,15 @@
 
 // NewManager returns the manager of one run of a daemon.
 func NewManager(clock sesamepitch.Clock, log logr.Logger, p sesamepitch.Platform, holder *document.Holder, notices *notice.Set, generator Generator, run string, usageWindow time.Duration) *Manager {
-	return &Manager{clock: clock, log: log, platform: p, holder: holder, notices: notices, generator: generator, run: run, length: usageWindow}
+	serving, drain := context.WithCancel(context.Background())
+	return &Manager{clock: clock, log: log, platform: p, holder: holder, notices: notices, generator: generator, run: run, length: usageWindow, serving: serving, drain: drain}
 }
 
-// Drain lets drivers finish what runs and start nothing more.
-func (m *Manager) Drain() { m.draining.Store(true) }
+// Drain lets drivers finish what runs and start nothing more. Samples that wait
+// for an endpoint are left to the daemon at which the trainer resumes.
+func (m *Manager) Drain() { m.drain() }
+
+func (m *Manager) draining() bool { return m.serving.Err() != nil }
 
 // Running counts the steps that this daemon drives.
 func (m *Manager) Running() int64 { return m.running.Load() }
--- a/src/step/sampling.go
+++ b/src/step/sampling.go
@@ -36,7 +36,7 @@
 
 // launch starts missing samples up to the limit.
 func (d *driver) launch(ctx context.Context) {
-	if d.m.draining.Load() {
+	if d.m.draining() {
 		return
 	}
 	var kept []Identity
@@ -82,7 +82,7 @@
 		ID: fmt.Sprintf("%s/%d/%d.%d", d.trainer.Name, d.open.Spec.Step, identity.Group, identity.Index), Workspace: d.trainer.Workspace, Weight: d.weight, Model: d.trainer.Model,
 		Prompt: group.Prompt, MaxTokens: group.MaxTokens, Deadline: d.deadline,
 		Urgent: hedge || left < d.trainer.Time()/urgentShare, Thrifty: d.thrifty, MinVersion: d.floor, Secret: d.open.Secret,
-		Limiter: limiter{pins: where, identity: identity},
+		Limiter: limiter{pins: where, identity: identity}, Patience: d.m.serving,
 		Placed: func(endpoint string) {
 			where.place(identity, endpoint)
 			r.placed.Store(&placed{endpoint: endpoint, at: d.m.clock.Now()})
