Versions by event, endpoints ordered anew, earlier takeovers, cut-off calls refused, suspects shared

One body for changes that share files; each has its tests.

Cause: a part of a text in the making named the versions of the whole text, also when it held only the text's beginning; the next driver went on from there with versions whose events it did not have. Now each event has its version (src/driver/text.go), in the table too. TestPartialProgress, which fails with the versions of the whole.

Takeovers: the lease's term was a constant; it follows the settings' span now (1.5 s and 0.3 s at 3 s instead of 2.0 and 0.3), and contenders look when it can be taken. So that shorter terms bring no A, B, A within the span, a holder that comes back has no duty until the span has passed (TestTurns). A released lease goes to instances that started last (TestIsAged).

Reads are held until the step is whole or just before the trainer reads again (TestGathering, TestTarget).

Long texts keep away from others (TestUrgentTexts). Contents that crash three endpoints are held at all instances (TestCrashingContent, TestInnocentContent, TestShared, TestSuspectsTravel); items that break off get three more runs after the third (TestAfterBreaks).

--- a/src/batch/job.go
+++ b/src/batch/job.go
@@ -66,6 +66,9 @@
 	State    State   `json:"state"`
 	Text     string  `json:"text"`
 	Versions []int64 `json:"versions"`
+	// TargetMet is set from the result on with which the groups that the trainer
+	// waits for are whole.
+	TargetMet bool `json:"target_met,omitempty"`
 }
 
 // Page is a run of results from a position.
@@ -75,6 +78,12 @@
 	Next    int
 }
 
+// TargetMet tells whether the groups that the trainer waits for are whole with
+// this page.
+func (p Page) TargetMet() bool {
+	return len(p.Results) > 0 && p.Results[len(p.Results)-1].TargetMet
+}
+
 // maxIDLength keeps identifiers within the store's keys.
 const maxIDLength = 150
 
--- a/src/batch/progress.go
+++ b/src/batch/progress.go
@@ -29,9 +29,10 @@
 	// later text has a higher one.
 	Lineage int64 `json:"-"`
 	// From is the index of the first event.
-	From     int      `json:"-"`
-	Events   []string `json:"events"`
-	Versions []int64  `json:"versions"`
+	From   int      `json:"-"`
+	Events []string `json:"events"`
+	// Versions are the weight versions that made the events, one for each.
+	Versions []int64 `json:"versions"`
 }
 
 // Size returns the number of bytes of the part's events.
--- a/src/driver/adopt.go
+++ b/src/driver/adopt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
@@ -91,7 +90,7 @@
 	if err != nil {
 		return nil, before{}, err
 	}
-	j := &job{Job: loaded, claim: claim, wake: make(chan struct{}, 1), handOver: make(chan chan struct{})}
+	j := &job{Job: loaded, target: newTarget(loaded), claim: claim, wake: make(chan struct{}, 1), handOver: make(chan chan struct{})}
 	if claim.IsFirst() {
 		return j, before{}, nil
 	}
@@ -121,10 +120,16 @@
 	}
 	j.listed = len(earlier.done)
 	known := 0
+	for _, item := range j.Items {
+		if s.carry.has(carryKey{j.Workspace, j.Route, item.ID}) {
+			j.target.await(item.Group)
+		}
+	}
 	for i, item := range j.Items {
 		t := &task{item: item, job: j, index: i, waitSince: now, finished: finished[item.ID], lineage: s.epoch << lineageBits}
 		j.tasks = append(j.tasks, t)
 		if t.finished {
+			j.target.finish(item.Group)
 			continue
 		}
 		j.open = append(j.open, t)
@@ -149,8 +154,7 @@
 // recall starts a task with a text that is known already, from a former driver
 // or a former job, and tells whether it is whole.
 func (s *session) recall(t *task, kept batch.Progress) bool {
-	slices.Sort(kept.Versions)
-	former := text{events: kept.Events, versions: slices.Compact(kept.Versions)}
+	former := textOfProgress(kept)
 	carried, whole := s.carry.take(t)
 	t.text = carried
 	if !whole && len(former.events) > len(carried.events) && former.allowed(t.job.MinVersion, t.job.single) {
--- a/src/driver/carry.go
+++ b/src/driver/carry.go
@@ -44,14 +44,19 @@
 	}
 }
 
+// has tells whether a text of the item is kept.
+func (c *carry) has(key carryKey) bool {
+	_, found := c.texts[key]
+	return found
+}
+
 // take returns what is known of a task's text, if its job allows the versions.
 func (c *carry) take(t *task) (text, bool) {
 	known, found := c.texts[keyOf(t)]
 	if !found || !known.text.allowed(t.job.MinVersion, t.job.single) {
 		return text{}, false
 	}
-	copied := text{events: append([]string(nil), known.text.events...), versions: append([]int64(nil), known.text.versions...)}
-	return copied, known.whole
+	return known.text.clone(), known.whole
 }
 
 func (c *carry) forget(now time.Time) {
--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,10 +19,15 @@
 const LeaseKey = "lease//driver"
 
 const (
-	// renewal is the time between steps of the lease.
+	// renewal is the longest time between steps of the lease.
 	renewal = 350 * time.Millisecond
+	// raceSpread is the span over which contenders spread their tries.
+	raceSpread = 40 * time.Millisecond
 	// weakReluctance leaves the lease to instances with more cores.
 	weakReluctance = 1500 * time.Millisecond
+	// agedReluctance leaves a lease that was released to instances that have
+	// started since: in a rolling restart they are not the next to go.
+	agedReluctance = 250 * time.Millisecond
 	// yieldAfter is how long a stronger instance must be known, and yieldRest how
 	// long it has to take the lease.
 	yieldAfter = 4 * time.Second
@@ -32,12 +38,18 @@
 	leaseCall = 1500 * time.Millisecond
 )
 
-// leaseSettings are the times of the lease.
-var leaseSettings = lease.Settings{TTL: 2 * time.Second, Margin: 300 * time.Millisecond}
+// NewLease returns the driver's lease for an instance; drivers must not take
+// turns within a span.
+func NewLease(clock sesamepitch.Clock, table sesamepitch.Table, instance, address string, turn time.Duration) *lease.Lease {
+	return lease.New(clock, table, LeaseKey, instance, address, lease.Within(turn))
+}
 
-// NewLease returns the driver's lease for an instance.
-func NewLease(clock sesamepitch.Clock, table sesamepitch.Table, instance, address string) *lease.Lease {
-	return lease.New(clock, table, LeaseKey, instance, address, leaseSettings)
+// Fitness tells how well an instance is suited to drive.
+type Fitness interface {
+	// IsStrong tells whether no other instance has notably more cores.
+	IsStrong() bool
+	// IsAged tells whether another instance has started notably later.
+	IsAged() bool
 }
 
 // Driver takes part in the lease and drives all jobs while it has it.
@@ -51,7 +63,7 @@
 	control  sesamepitch.EngineControl
 	lease    *lease.Lease
 	instance string
-	strong   func() bool
+	fitness  Fitness
 	checks   *invariant.Recorder
 	readable time.Duration
 	leaving  chan struct{}
@@ -80,12 +92,11 @@
 	return func(driver *Driver) { driver.readable = d }
 }
 
-// New returns a driver for an instance; strong tells whether no other instance
-// is better suited.
-func New(clock sesamepitch.Clock, log logr.Logger, store sesamepitch.Store, ledger *batch.Ledger, known *registry.Registry, engines sesamepitch.Engines, control sesamepitch.EngineControl, l *lease.Lease, instance string, strong func() bool, options ...Option) *Driver {
+// New returns a driver for an instance.
+func New(clock sesamepitch.Clock, log logr.Logger, store sesamepitch.Store, ledger *batch.Ledger, known *registry.Registry, engines sesamepitch.Engines, control sesamepitch.EngineControl, l *lease.Lease, instance string, fitness Fitness, options ...Option) *Driver {
 	d := &Driver{
 		clock: clock, log: log, store: store, ledger: ledger, registry: known, engines: engines, control: control,
-		lease: l, instance: instance, strong: strong, readable: defaultReadable, leaving: make(chan struct{}),
+		lease: l, instance: instance, fitness: fitness, readable: defaultReadable, leaving: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(d)
@@ -139,7 +150,7 @@
 		current = d.follow(ctx, current)
 		current = d.yield(ctx, current)
 		select {
-		case <-d.clock.After(renewal):
+		case <-d.clock.After(d.pause()):
 		case <-d.leaving:
 			if current != nil {
 				d.handOver(ctx, current)
@@ -155,10 +166,7 @@
 }
 
 func (d *Driver) step(ctx context.Context) {
-	d.lease.SetReluctance(0)
-	if !d.strong() {
-		d.lease.SetReluctance(weakReluctance)
-	}
+	d.lease.SetReluctance(d.reluctance())
 	ctx, cancel := context.WithTimeout(ctx, leaseCall)
 	defer cancel()
 	if err := d.lease.Step(ctx); err != nil {
@@ -166,6 +174,23 @@
 	}
 }
 
+// reluctance is how much longer than others this instance waits for a lease that
+// lapsed and for one that was released.
+func (d *Driver) reluctance() (lapsed, released time.Duration) {
+	switch {
+	case !d.fitness.IsStrong():
+		return weakReluctance, weakReluctance
+	case d.fitness.IsAged():
+		return 0, agedReluctance
+	}
+	return 0, 0
+}
+
+// pause is the time until the next step of the lease.
+func (d *Driver) pause() time.Duration {
+	return min(d.lease.Wait(renewal)+rand.N(raceSpread), renewal)
+}
+
 func (d *Driver) release(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaseCall)
 	defer cancel()
@@ -199,7 +224,7 @@
 // a while.
 func (d *Driver) yield(ctx context.Context, current *active) *active {
 	now := d.clock.Now()
-	if current == nil || d.strong() {
+	if current == nil || d.fitness.IsStrong() {
 		d.weakSince = time.Time{}
 		return current
 	}
@@ -221,7 +246,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
 		clock: d.clock, log: d.log, ledger: d.ledger, registry: d.registry, engines: d.engines,
-		loader: newLoader(d.clock, d.log, d.control, d.lease, d.instance, epoch, d.checks),
+		loader: newLoader(d.clock, d.log, d.control, d.lease.Duty(), d.instance, epoch, d.checks),
 		checks: d.checks, holder: d.instance, epoch: epoch, wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, states: map[string]*engine{}, home: map[string]string{}, lags: map[string]lag{},
 		carry: newCarry(), adopted: map[string]bool{}, over: map[string]bool{}, heads: map[string]batch.Head{}, readable: d.readable,
--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -31,6 +31,7 @@
 	// open are the tasks without a result or with a run that is about to end.
 	open    []*task
 	single  bool
+	target  *target
 	pending []batch.Result
 	// handOver ends the job's commits; what it receives is closed then.
 	handOver chan chan struct{}
@@ -157,7 +158,9 @@
 	}
 	t.finished = true
 	t.release()
-	known := text{versions: result.Versions}
+	t.job.target.finish(t.item.Group)
+	result.TargetMet = t.job.target.isMet()
+	known := text{made: result.Versions}
 	s.checks.Check(known.allowed(t.job.MinVersion, t.job.single), invariant.ResultVersions,
 		"job", t.job.ID, "item", t.item.ID, "versions", result.Versions, "min_version", t.job.MinVersion)
 	if t.job.ended {
--- a/src/driver/run.go
+++ b/src/driver/run.go
@@ -24,6 +24,8 @@
 	// longer each time, since it may be what makes engines crash.
 	suspiciousBreaks = 3
 	breakPause       = time.Second
+	// mostBreaks is after how many such runs a task gets no other one.
+	mostBreaks = 6
 )
 
 // run is one generation of a task at an engine.
@@ -130,8 +132,8 @@
 	if event.Version < r.task.job.MinVersion {
 		return &Error{Op: "driver.run", Kind: sesamepitch.KindStale, Err: errStale}
 	}
-	versions := r.task.text.versions
-	if r.task.job.single && len(versions) > 0 && versions[0] != event.Version {
+	made := r.task.text.made
+	if r.task.job.single && len(made) > 0 && made[0] != event.Version {
 		r.task.restart()
 		return &Error{Op: "driver.run", Kind: sesamepitch.KindStale, Err: errTwo}
 	}
@@ -219,7 +221,7 @@
 			e.suspectUntil = now.Add(suspectTime)
 		}
 		if t.breaks >= suspiciousBreaks {
-			t.notBefore = now.Add(breakPause << min(t.breaks-suspiciousBreaks, 4))
+			t.notBefore = t.afterBreaks(now)
 		}
 	}
 	s.log.Info("run ended", "job", t.job.ID, "item", t.item.ID, "engine", e.entry.ID, "events", r.events, "why", r.why,
@@ -227,6 +229,15 @@
 		"ms", now.Sub(r.started).Milliseconds())
 }
 
+// afterBreaks returns when a task that may be what makes engines crash gets its
+// next run: never, once it has broken off too many.
+func (t *task) afterBreaks(now time.Time) time.Time {
+	if t.breaks >= mostBreaks {
+		return t.job.giveUp
+	}
+	return now.Add(breakPause << (t.breaks - suspiciousBreaks))
+}
+
 func causeOf(err error) string {
 	if err == nil {
 		return "none"
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -102,6 +102,7 @@
 	if now.Sub(s.tickedAt) >= tick {
 		s.tickedAt = now
 		s.syncEngines()
+		s.countUrgent(now)
 		s.endStalled(now)
 		s.migrate(now)
 		s.giveUpDue(now)
@@ -162,10 +163,23 @@
 	}
 }
 
-// needOf returns what a task asks of an engine. An empty service means that no
-// route allows the task now.
-func (s *session) needOf(t *task) need {
-	n := need{model: t.job.Model, minVersion: t.job.MinVersion, group: t.item.Group, avoid: t.avoid, avoidCentre: t.avoidCentre}
+// countUrgent counts each engine's texts that have no time to lose.
+func (s *session) countUrgent(now time.Time) {
+	for _, e := range s.states {
+		e.urgent = 0
+	}
+	pace := medianPace(s.states)
+	for _, t := range s.runningTasks() {
+		if t.isUrgent(now, pace) {
+			t.run.engine.urgent++
+		}
+	}
+}
+
+// needOf returns what a task asks of an engine; pace is the engines' median. An
+// empty service means that no route allows the task now.
+func (s *session) needOf(t *task, now time.Time, pace time.Duration) need {
+	n := need{model: t.job.Model, minVersion: t.job.MinVersion, group: t.item.Group, urgent: t.isUrgent(now, pace), avoid: t.avoid, avoidCentre: t.avoidCentre}
 	config := s.registry.Config()
 	if config == nil {
 		return n
@@ -173,8 +187,8 @@
 	if route, found := config.Match(t.job.Host, t.item.Path); found {
 		n.service = route.Pick(drawOf(t.item.ID))
 	}
-	if t.job.single && len(t.text.versions) == 1 {
-		n.exact = t.text.versions[0]
+	if t.job.single && len(t.text.made) > 0 {
+		n.exact = t.text.made[0]
 	}
 	return n
 }
@@ -226,9 +240,10 @@
 			}
 		}
 	}
-	byUrgency(waiting, now, medianPace(s.states))
+	pace := medianPace(s.states)
+	byUrgency(waiting, now, pace)
 	for _, t := range waiting {
-		n := s.needOf(t)
+		n := s.needOf(t, now, pace)
 		reserved := t.release()
 		if n.service == "" {
 			continue
@@ -239,6 +254,9 @@
 		}
 		if e := choose(s.states, now, n); e != nil {
 			s.start(ctx, t, e)
+			if n.urgent {
+				e.urgent++
+			}
 		}
 	}
 }
--- a/src/driver/task.go
+++ b/src/driver/task.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 )
 
@@ -18,6 +17,8 @@
 	// tokensPerEvent turns an estimate in tokens into events until texts have
 	// shown the figure.
 	tokensPerEvent = 59
+	// urgentSlack is the least time that a text has left over without being urgent.
+	urgentSlack = time.Second
 	// beyondShare is one over the part of its present length that a text is
 	// expected to grow by at least.
 	beyondShare = 3
@@ -74,30 +75,6 @@
 	return e
 }
 
-// text is what is known of an item's output.
-type text struct {
-	events   []string
-	versions []int64
-}
-
-// add appends an event.
-func (t *text) add(event sesamepitch.Event) {
-	t.events = append(t.events, event.Data)
-	if !slices.Contains(t.versions, event.Version) {
-		t.versions = append(t.versions, event.Version)
-		slices.Sort(t.versions)
-	}
-}
-
-// allowed tells whether the text may stand in a job that allows versions from
-// least on, and one of them only if single is set.
-func (t *text) allowed(least int64, single bool) bool {
-	if single && len(t.versions) > 1 {
-		return false
-	}
-	return len(t.versions) == 0 || t.versions[0] >= least
-}
-
 // restart drops the text; the next one does not continue it.
 func (t *task) restart() {
 	t.text = text{}
@@ -108,21 +85,22 @@
 // progress returns the part of the text that the table does not have, up to
 // about a number of bytes.
 func (t *task) progress(limit int) batch.Progress {
-	part := batch.Progress{Item: t.index, Lineage: t.lineage, From: t.kept, Versions: slices.Clone(t.text.versions)}
+	part := batch.Progress{Item: t.index, Lineage: t.lineage, From: t.kept}
 	bytes := 0
-	for _, event := range t.text.events[t.kept:] {
-		bytes += len(event)
+	for i := t.kept; i < len(t.text.events); i++ {
+		bytes += len(t.text.events[i])
 		if bytes > limit && len(part.Events) > 0 {
 			break
 		}
-		part.Events = append(part.Events, event)
+		part.Events = append(part.Events, t.text.events[i])
+		part.Versions = append(part.Versions, t.text.made[i])
 	}
 	return part
 }
 
 // result is the task's outcome once its text is whole.
 func (t *task) result() batch.Result {
-	return batch.Result{ID: t.item.ID, State: batch.Done, Text: strings.Join(t.text.events, "\n"), Versions: t.text.versions}
+	return batch.Result{ID: t.item.ID, State: batch.Done, Text: strings.Join(t.text.events, "\n"), Versions: t.text.versions()}
 }
 
 func (t *task) dead() batch.Result {
@@ -148,14 +126,21 @@
 // byUrgency orders waiting tasks by the time that is left beyond what they
 // take: the longest of a job first, and the older of two jobs.
 func byUrgency(tasks []*task, now time.Time, pace time.Duration) {
-	if pace <= 0 {
-		pace = usualPace
-	}
 	slices.SortStableFunc(tasks, func(a, b *task) int {
 		return cmp.Compare(a.slack(now, pace), b.slack(now, pace))
 	})
 }
 
+// isUrgent tells whether the text has no time to lose.
+func (t *task) isUrgent(now time.Time, pace time.Duration) bool {
+	return t.slack(now, pace) < urgentSlack
+}
+
+// slack is the time that is left beyond what the text takes at a pace; zero for
+// one that is not known yet.
 func (t *task) slack(now time.Time, pace time.Duration) time.Duration {
+	if pace <= 0 {
+		pace = usualPace
+	}
 	return t.job.due.Sub(now) - t.expectedLeft(pace)
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -12,6 +12,7 @@
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 	"sesamepitch/src/invariant"
+	"sesamepitch/src/quarantine"
 	"sesamepitch/src/registry"
 
 	"github.com/go-logr/logr"
@@ -27,6 +28,8 @@
 	comeBackSoon = 100 * time.Millisecond
 	// comeBackLater is advised when nothing is known to serve the request.
 	comeBackLater = 400 * time.Millisecond
+	// comeBackHeld is advised for a content that has crashed endpoints.
+	comeBackHeld = 10 * time.Second
 	// timeoutLead is how long before the caller's deadline the answer is given.
 	timeoutLead = 15 * time.Millisecond
 	// unsentTries bounds tries that never reached an endpoint.
@@ -40,6 +43,7 @@
 	errNoKey      = errors.New("the key is missing or unknown")
 	errNoEndpoint = errors.New("no endpoint is available")
 	errTimeIsUp   = errors.New("the time is up")
+	errHeld       = errors.New("the content crashes endpoints")
 	errNotRollout = errors.New("the route takes no batch jobs")
 )
 
@@ -64,6 +68,9 @@
 	instances func() int
 	// notify tells the driver of a job that was accepted or ended.
 	notify func(batch.Head)
+	reach  sesamepitch.Reach
+	// suspects are the contents that have crashed endpoints.
+	suspects *quarantine.List
 
 	mu    sync.Mutex
 	loads map[string]*load
@@ -89,6 +96,11 @@
 	return func(g *Gateway) { g.notify = notify }
 }
 
+// WithSuspects shares the contents that crash endpoints with other instances.
+func WithSuspects(suspects *quarantine.List) Option {
+	return func(g *Gateway) { g.suspects = suspects }
+}
+
 // New returns a gateway of an instance in a data centre of a region.
 func New(clock sesamepitch.Clock, log logr.Logger, known *registry.Registry, forward sesamepitch.Forwarder, ledger *batch.Ledger, meter Meter, centre, region string, options ...Option) *Gateway {
 	g := &Gateway{
@@ -96,6 +108,8 @@
 		centre: centre, region: region, loads: map[string]*load{},
 		instances: func() int { return 1 },
 		notify:    func(batch.Head) {},
+		reach:     everywhere{},
+		suspects:  quarantine.New(clock),
 	}
 	for _, option := range options {
 		option(g)
@@ -210,6 +224,7 @@
 		gateway: g, admission: admission, request: request, start: now,
 		due:     deadlineOf(now, admission.Route, request),
 		service: admission.Route.Pick(rand.Float64()),
+		content: quarantine.Fingerprint(admission.Workspace, request.URI, request.Body),
 		tried:   map[string]bool{},
 	}
 }
@@ -218,7 +233,7 @@
 	fields := []any{
 		"request", r.request.ID, "route", r.admission.Route.Name, "workspace", r.admission.Workspace,
 		"config", r.admission.Config, "service", r.service, "tries", r.sent, "unsent", r.unsent,
-		"endpoint", r.last.ID, "endpoint_row", r.last.Revision, "ms", g.clock.Now().Sub(r.start).Milliseconds(),
+		"endpoint", r.last.ID, "endpoint_row", r.last.Revision, "crashes", r.crashes, "ms", g.clock.Now().Sub(r.start).Milliseconds(),
 		"status", status,
 	}
 	if err != nil {
--- a/src/gateway/jobs.go
+++ b/src/gateway/jobs.go
@@ -21,11 +21,17 @@
 	readTime = 2 * time.Second
 	// readPause is the time between looks of a waiting read.
 	readPause = 40 * time.Millisecond
-	// A waiting read that a result has ended is answered once no other has come
-	// for gatherQuiet, after gatherMost at the latest: its caller comes back only
-	// after a pause, and results of equal length end together.
+	// A waiting read is answered at once if it brings all that its trainer waits
+	// for. Else it gathers for gatherLeast, which is just under the time to the
+	// trainer's next read, and then until no other result has come for
+	// gatherQuiet, gatherMost after the first one at the latest: texts of equal
+	// length end together.
+	gatherLeast = 450 * time.Millisecond
 	gatherQuiet = 80 * time.Millisecond
 	gatherMost  = 250 * time.Millisecond
+	// dueGrace is how long after results are due they still count in full, less
+	// the way to the trainer. From then on each one is answered at once.
+	dueGrace = 650 * time.Millisecond
 )
 
 // Submit accepts a batch job once and whole.
@@ -58,7 +64,12 @@
 	// A caller that leaves does not undo what the table may have taken.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTime)
 	defer cancel()
-	err := g.ledger.Accept(ctx, job)
+	ctx, done, err := g.withStore(ctx)
+	if err != nil {
+		return err
+	}
+	defer done()
+	err = g.ledger.Accept(ctx, job)
 	switch sesamepitch.KindOf(err) {
 	case "":
 		g.tell(ctx, job.ID, false)
@@ -83,6 +94,17 @@
 	g.notify(head)
 }
 
+// readHead reads the head of a job of a workspace; done must be called once the
+// job was read with the returned context.
+func (g *Gateway) readHead(ctx context.Context, workspace, id string) (reading context.Context, done context.CancelFunc, head batch.Head, err error) {
+	reading, done, err = g.withStore(ctx)
+	if err != nil {
+		return ctx, func() {}, head, err
+	}
+	head, err = g.own(reading, workspace, id)
+	return reading, done, head, err
+}
+
 // own checks that a job exists and belongs to the workspace.
 func (g *Gateway) own(ctx context.Context, workspace, id string) (batch.Head, error) {
 	head, err := g.ledger.Head(ctx, id)
@@ -105,17 +127,20 @@
 	return &Refusal{Kind: sesamepitch.KindUnavailable, Err: err, After: comeBackSoon}
 }
 
-// Read returns the results from a position on; it waits for the first one if
-// there is none yet.
+// Read returns the results from a position on. With a wait it is answered when
+// that serves its trainer best, the wait's end at the latest.
 func (g *Gateway) Read(ctx context.Context, workspace, id string, after int, wait time.Duration) (batch.Page, error) {
-	until := g.clock.Now().Add(wait)
+	began := g.clock.Now()
+	until := began.Add(wait)
 	ctx, cancel := context.WithTimeout(ctx, wait+readTime)
 	defer cancel()
-	if _, err := g.own(ctx, workspace, id); err != nil {
+	ctx, done, head, err := g.readHead(ctx, workspace, id)
+	defer done()
+	if err != nil {
 		g.log.Info("job not read", "job", id, "workspace", workspace, "cause", err.Error())
 		return batch.Page{}, err
 	}
-	gathered := gathering{}
+	gathered := gathering{began: began, due: g.dueOf(head)}
 	for {
 		page, err := g.ledger.Read(ctx, id, after)
 		if err != nil {
@@ -123,7 +148,7 @@
 			return page, asRefusal(err)
 		}
 		now := g.clock.Now()
-		if page.Next >= page.Total || !now.Add(readPause).Before(until) || gathered.isDone(now, len(page.Results)) {
+		if page.Next >= page.Total || !now.Add(readPause).Before(until) || gathered.isDone(now, len(page.Results), page.TargetMet()) {
 			return page, nil
 		}
 		select {
@@ -134,23 +159,37 @@
 	}
 }
 
+// dueOf returns when a job's results stop to count in full; zero if its route
+// names no time.
+func (g *Gateway) dueOf(head batch.Head) time.Time {
+	config := g.registry.Config()
+	if config == nil {
+		return time.Time{}
+	}
+	route, found := config.RouteNamed(head.Route)
+	if !found || route.ResultDeadline <= 0 {
+		return time.Time{}
+	}
+	return head.Submitted.Add(route.ResultDeadline + dueGrace)
+}
+
 // gathering decides when a waiting read is answered.
 type gathering struct {
-	// waited is set once a look has found no result.
-	waited bool
-	count  int
+	began time.Time
+	// due is when results stop to count in full; zero for never.
+	due   time.Time
+	count int
 	// firstAt and lastAt are when results were first and last found to be new.
 	firstAt, lastAt time.Time
 }
 
-// isDone takes a look's number of results and tells whether to answer: at once
-// if there were some at the first look.
-func (g *gathering) isDone(now time.Time, count int) bool {
+// isDone takes a look's number of results, and whether they are all that the
+// trainer waits for, and tells whether to answer.
+func (g *gathering) isDone(now time.Time, count int, targetMet bool) bool {
 	if count == 0 {
-		g.waited = true
 		return false
 	}
-	if !g.waited {
+	if targetMet || !g.due.IsZero() && !now.Before(g.due) {
 		return true
 	}
 	if g.count == 0 {
@@ -159,14 +198,16 @@
 	if count > g.count {
 		g.count, g.lastAt = count, now
 	}
-	return now.Sub(g.lastAt) >= gatherQuiet || now.Sub(g.firstAt) >= gatherMost
+	quiet := now.Sub(g.lastAt) >= gatherQuiet || now.Sub(g.firstAt) >= gatherMost
+	return quiet && now.Sub(g.began) >= gatherLeast
 }
 
 // ItemBody returns the body of an item.
 func (g *Gateway) ItemBody(ctx context.Context, workspace, id, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTime)
 	defer cancel()
-	head, err := g.own(ctx, workspace, id)
+	ctx, done, head, err := g.readHead(ctx, workspace, id)
+	defer done()
 	if err != nil {
 		return nil, err
 	}
@@ -186,7 +227,8 @@
 func (g *Gateway) End(ctx context.Context, workspace, id string) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTime)
 	defer cancel()
-	_, err := g.own(ctx, workspace, id)
+	ctx, done, _, err := g.readHead(ctx, workspace, id)
+	defer done()
 	if err == nil {
 		err = g.ledger.End(ctx, id)
 		if err == nil {
--- a/src/gateway/run.go
+++ b/src/gateway/run.go
@@ -15,8 +15,12 @@
 	admission Admission
 	request   sesamepitch.Request
 	service   string
-	start     time.Time
-	due       time.Time
+	// content is the fingerprint of what the caller would send again, crashes is
+	// how many endpoints it has crashed as far as this instance knows.
+	content string
+	crashes int
+	start   time.Time
+	due     time.Time
 	// sent counts the endpoints that were sent the request, unsent those that
 	// could not be reached.
 	sent, unsent int
@@ -54,12 +58,30 @@
 }
 
 func (r *run) mayTry() bool {
-	if r.sent >= r.admission.Route.MaxAttempts || r.unsent >= unsentTries {
+	if r.sent >= r.admission.Route.MaxAttempts || r.unsent >= unsentTries || r.isHeld() {
 		return false
 	}
 	return !r.mayHaveRun || r.admission.Route.Kind == registry.Idempotent
 }
 
+// isHeld tells whether the content has crashed too many endpoints.
+func (r *run) isHeld() bool {
+	held, crashes := r.gateway.suspects.IsHeld(r.content)
+	r.crashes = crashes
+	return held
+}
+
+// judge notes whether an endpoint broke off while it ran the content.
+func (r *run) judge(ctx context.Context, err error) {
+	switch kind := sesamepitch.KindOf(err); {
+	case kind == "" && r.crashes > 0:
+		r.gateway.suspects.Answered(r.content)
+	case (kind == sesamepitch.KindCrashed || kind == sesamepitch.KindUnknown) && ctx.Err() == nil:
+		r.crashes = r.gateway.suspects.Crashed(r.content)
+		r.gateway.log.Info("content suspected", "request", r.request.ID, "content", r.content, "endpoint", r.last.ID, "crashes", r.crashes)
+	}
+}
+
 func (r *run) try(ctx context.Context, endpoint registry.Endpoint) (sesamepitch.Answer, error) {
 	r.tried[endpoint.ID] = true
 	r.last = endpoint
@@ -71,6 +93,7 @@
 	began := r.gateway.clock.Now()
 	answer, err := r.gateway.forward.Forward(ctx, destination(endpoint), request)
 	done(err)
+	r.judge(ctx, err)
 	r.note(began, err)
 	return answer, err
 }
@@ -114,6 +137,8 @@
 		return &Refusal{Kind: sesamepitch.KindTimeout, Err: errTimeIsUp}
 	case r.mayHaveRun:
 		return &Refusal{Kind: sesamepitch.KindUnknown, Err: cause}
+	case r.isHeld():
+		return &Refusal{Kind: sesamepitch.KindUnavailable, Err: errHeld, After: comeBackHeld}
 	case cause == nil && !r.gateway.registry.Complete():
 		return &Refusal{Kind: sesamepitch.KindUnavailable, Err: errNoList, After: comeBackSoon}
 	case cause == nil:
@@ -156,6 +181,7 @@
 		began := r.gateway.clock.Now()
 		cause = r.gateway.forward.Stream(ctx, destination(endpoint), request, sink)
 		done(cause)
+		r.judge(ctx, cause)
 		r.note(began, cause)
 		if cause == nil {
 			return nil
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -23,8 +23,10 @@
 	"sesamepitch/src/invariant"
 	"sesamepitch/src/lease"
 	"sesamepitch/src/peer"
+	"sesamepitch/src/quarantine"
 	"sesamepitch/src/registry"
 	"sesamepitch/src/relay"
+	"sesamepitch/src/scaling"
 	"sesamepitch/src/site"
 	"sesamepitch/src/supervisor"
 
@@ -75,28 +77,29 @@
 
 // Instance is a running entry instance.
 type Instance struct {
-	settings site.Settings
-	adapter  Adapter
-	clock    *sesamepitch.BootClock
-	lines    *eventlog.Writer
-	log      logr.Logger
-	registry *registry.Registry
-	members  *registry.Members
-	store    *relay.Store
-	peers    *peer.Dialer
-	rpc      *rpc.Server
-	lease    *lease.Lease
-	driver   *driver.Driver
-	hinter   *driver.Hinter
-	gateway  *gateway.Gateway
-	meter    *billing.Meter
-	reporter *billing.Reporter
-	metrics  *metrics
-	checks   *invariant.Recorder
-	memory   *Memory
-	leaving  atomic.Bool
-	// isolated is set while neither the store nor another data centre answers.
-	isolated atomic.Bool
+	settings  site.Settings
+	adapter   Adapter
+	clock     *sesamepitch.BootClock
+	lines     *eventlog.Writer
+	log       logr.Logger
+	registry  *registry.Registry
+	members   *registry.Members
+	store     *relay.Store
+	peers     *peer.Dialer
+	rpc       *rpc.Server
+	lease     *lease.Lease
+	driver    *driver.Driver
+	hinter    *driver.Hinter
+	gateway   *gateway.Gateway
+	meter     *billing.Meter
+	reporter  *billing.Reporter
+	scaler    *scaling.Scaler
+	metrics   *metrics
+	checks    *invariant.Recorder
+	memory    *Memory
+	leaving   atomic.Bool
+	isolation *isolation
+	suspects  *quarantine.List
 }
 
 // New builds an instance that logs to out.
@@ -105,10 +108,12 @@
 	lines := eventlog.New(clock, out)
 	i := &Instance{
 		settings: settings, adapter: adapter, clock: clock, lines: lines,
-		log:    newLog(lines).WithValues("instance", settings.Instance),
-		peers:  peer.NewDialer(settings.Source),
-		rpc:    rpc.NewServer(),
-		memory: NewMemory(int64(bodyShare * float64(settings.MemoryBytes))),
+		log:       newLog(lines).WithValues("instance", settings.Instance),
+		peers:     peer.NewDialer(settings.Source),
+		rpc:       rpc.NewServer(),
+		isolation: newIsolation(clock),
+		suspects:  quarantine.New(clock),
+		memory:    NewMemory(int64(bodyShare * float64(settings.MemoryBytes))),
 	}
 	// net/http and net/rpc report broken connections there; each side of a
 	// connection logs what that means to it.
@@ -117,7 +122,7 @@
 	i.checks = invariant.New(i.log)
 	i.registry = registry.New(clock, adapter.Decoder)
 	i.store = relay.New(clock, i.log, adapter.Store, i.peers, func() []string { return i.members.Peers() })
-	i.members = registry.NewMembers(clock, i.log, i.store, settings.Instance, settings.Centre, settings.Peers, settings.Cores, settings.Seeds)
+	i.members = registry.NewMembers(clock, i.log, i.store, settings.Instance, settings.Centre, settings.Peers, settings.Cores, settings.Seeds, i.suspects)
 	if err := relay.Register(i.rpc, adapter.Store); err != nil {
 		return nil, err
 	}
@@ -132,14 +137,16 @@
 func (i *Instance) build() {
 	s := i.settings
 	ledger := batch.NewLedger(i.clock, i.store, batch.WithRowBytes(s.RowBytes))
-	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers)
+	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers, s.Bounds.Lease)
 	guard := lease.Guard(i.lease, s.Source)
-	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.lease, s.Instance, i.members.IsStrong, driver.WithChecks(i.checks), driver.WithReadable(s.Bounds.Status))
+	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.lease, s.Instance, i.members, driver.WithChecks(i.checks), driver.WithReadable(s.Bounds.Status))
 	i.hinter = driver.NewHinter(i.clock, i.log, i.driver, i.peers)
 	writer := s.Instance + "@" + i.clock.Now().Format("150405.000")
 	i.meter = billing.NewMeter(i.clock, i.log, i.store, s.Bounds.ReportWindow, writer)
-	i.reporter = billing.NewReporter(i.clock, i.log, i.store, i.adapter.Duties(guard), i.lease, s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate, billing.WithChecks(i.checks))
-	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(i.hinter.Tell))
+	duties := i.adapter.Duties(guard)
+	i.scaler = scaling.New(i.clock, i.log, i.store, i.registry, duties, i.lease.Duty(), s.Instance)
+	i.reporter = billing.NewReporter(i.clock, i.log, i.store, duties, i.lease.Duty(), s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate, billing.WithChecks(i.checks))
+	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(i.hinter.Tell), gateway.WithReach(i.isolation), gateway.WithSuspects(i.suspects))
 	i.metrics = newMetrics(i)
 }
 
@@ -155,6 +162,7 @@
 		supervisor.NewWorker("hints", i.hinter.Run),
 		supervisor.NewWorker("usage-flush", i.meter.Run),
 		supervisor.NewWorker("usage-reports", i.reporter.Run),
+		supervisor.NewWorker("endpoint-orders", i.scaler.Run),
 		supervisor.NewWorker("connections", i.dropConnections),
 		supervisor.NewWorker("kept-connections", i.gateway.KeepConnections),
 		supervisor.NewWorker("isolation", i.watchIsolation),
@@ -238,7 +246,9 @@
 	})
 }
 
-func (i *Instance) ready() bool { return !i.leaving.Load() && !i.isolated.Load() && i.gateway.Ready() }
+func (i *Instance) ready() bool {
+	return !i.leaving.Load() && !i.isolation.isSet() && i.gateway.Ready()
+}
 
 // listeners are the sockets that the instance serves.
 type listeners struct {
--- a/src/lease/lease.go
+++ b/src/lease/lease.go
@@ -22,6 +22,26 @@
 	Renewal int64  `json:"renewal"`
 	// Note is what the holder leaves for its successor.
 	Note string `json:"note,omitempty"`
+	// Last is the holder that released the lease, Former the one before the holder
+	// or before Last.
+	Last   string `json:"last,omitempty"`
+	Former string `json:"former,omitempty"`
+}
+
+// lastHolder returns the holder, or the last one of a released lease.
+func (r Record) lastHolder() string {
+	if r.Holder != "" {
+		return r.Holder
+	}
+	return r.Last
+}
+
+// formerFor returns who was in charge before a holder that takes the lease now.
+func (r Record) formerFor(holder string) string {
+	if last := r.lastHolder(); last != holder {
+		return last
+	}
+	return r.Former
 }
 
 // Settings are the lease's times. A holder counts on the lease for TTL−Margin
@@ -29,6 +49,26 @@
 type Settings struct {
 	TTL    time.Duration
 	Margin time.Duration
+	// Turn is the span in which holders must not take turns: a holder that is
+	// followed by another one and takes the lease again has no duty in it.
+	Turn time.Duration
+}
+
+const (
+	// ttlShare and marginShare of the span in which holders must not take turns
+	// are a lease's term and margin.
+	ttlShare    = 0.5
+	marginShare = 0.1
+)
+
+// Within returns the settings of a lease whose holders must not take turns
+// within a span.
+func Within(turn time.Duration) Settings {
+	return Settings{
+		TTL:    time.Duration(ttlShare * float64(turn)),
+		Margin: time.Duration(marginShare * float64(turn)),
+		Turn:   turn,
+	}
 }
 
 // Lease is one process's view of one lease.
@@ -52,8 +92,14 @@
 	// unsettled is when the oldest commit was sent that may still take effect or
 	// may have; zero if there is none.
 	unsettled time.Time
-	// reluctance is how much longer this process waits than others.
-	reluctance time.Duration
+	// reluctance is how much longer this process waits than others for a lease
+	// that lapsed, releaseReluctance for one that was released.
+	reluctance, releaseReluctance time.Duration
+	// otherSince is when another holder was first seen with otherEpoch.
+	otherSince time.Time
+	otherEpoch int64
+	// quietUntil is until when a held lease gives no duty.
+	quietUntil time.Time
 	// blind is set once the row could not be read.
 	blind bool
 }
@@ -84,12 +130,45 @@
 	l.note = note
 }
 
+// Duty returns the lease as the authority for calls whose receivers must not see
+// holders take turns: it is not held while that could happen.
+func (l *Lease) Duty() sesamepitch.Authority { return duty{l} }
+
+type duty struct{ lease *Lease }
+
+// Held implements sesamepitch.Authority.
+func (d duty) Held() (epoch int64, until time.Time, ok bool) {
+	epoch, until, ok = d.lease.Held()
+	if !ok || d.lease.isQuiet() {
+		return 0, time.Time{}, false
+	}
+	return epoch, until, true
+}
+
+func (l *Lease) isQuiet() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.clock.Now().Before(l.quietUntil)
+}
+
 // SetReluctance sets how much longer than others this process waits before it
-// takes the lease, also one that was released.
-func (l *Lease) SetReluctance(d time.Duration) {
+// takes the lease: one that lapsed, and one that was released.
+func (l *Lease) SetReluctance(lapsed, released time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reluctance = d
+	l.reluctance, l.releaseReluctance = lapsed, released
+}
+
+// Wait returns the time until the next step is due: at most longest, less if the
+// lease can be taken earlier.
+func (l *Lease) Wait(longest time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held || !l.observed || l.blind {
+		return longest
+	}
+	left := l.seenAt.Add(l.term()).Sub(l.clock.Now())
+	return max(min(left, longest), 0)
 }
 
 // Previous returns the record of the holder before this process took the lease.
@@ -126,7 +205,7 @@
 func (l *Lease) Release(ctx context.Context) error {
 	l.mu.Lock()
 	held, version := l.held, l.version
-	next := Record{Epoch: l.record.Epoch, Note: l.note}
+	next := Record{Epoch: l.record.Epoch, Note: l.note, Last: l.holder, Former: l.record.Former}
 	l.held = false
 	l.mu.Unlock()
 	if !held {
@@ -233,6 +312,9 @@
 	l.observed = true
 	l.record = record
 	l.version = version
+	if other := record.lastHolder(); other != "" && other != l.holder && record.Epoch != l.otherEpoch {
+		l.otherSince, l.otherEpoch = l.clock.Now(), record.Epoch
+	}
 }
 
 func (l *Lease) observe(ctx context.Context) error {
@@ -254,17 +336,25 @@
 	if l.record.Holder == l.holder {
 		return true
 	}
-	unchanged := l.clock.Now().Sub(l.seenAt)
+	return l.clock.Now().Sub(l.seenAt) >= l.term()
+}
+
+// term is how long the row must not have changed before this process may take
+// the lease; it needs l.mu.
+func (l *Lease) term() time.Duration {
 	if l.record.Holder == "" {
-		return unchanged >= l.reluctance
+		return l.releaseReluctance
 	}
-	return unchanged >= l.settings.TTL+l.settings.Margin+l.reluctance
+	return l.settings.TTL + l.settings.Margin + l.reluctance
 }
 
 func (l *Lease) take(ctx context.Context) error {
 	l.mu.Lock()
 	version := l.version
-	next := Record{Holder: l.holder, Address: l.address, Epoch: l.record.Epoch + 1, Note: l.record.Note}
+	next := Record{Holder: l.holder, Address: l.address, Epoch: l.record.Epoch + 1, Note: l.record.Note, Former: l.record.formerFor(l.holder)}
+	if l.record.Former == l.holder && l.record.lastHolder() != l.holder {
+		l.quietUntil = l.otherSince.Add(l.settings.Turn)
+	}
 	l.previous = l.record
 	l.mu.Unlock()
 	sent := l.clock.Now()
--- a/src/peers.go
+++ b/src/peers.go
@@ -1,6 +1,9 @@
 package sesamepitch
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // PeerCaller calls other instances; peer.Dialer is one.
 type PeerCaller interface {
@@ -9,3 +12,11 @@
 	// is missing.
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
+
+// Reach tells whether this instance reaches the platform's store, directly or
+// through other instances.
+type Reach interface {
+	// Reached returns a context that ends when the store is out of reach, and has
+	// ended if it is now. Callers are served elsewhere after the returned time.
+	Reached() (ctx context.Context, elsewhere time.Duration)
+}
--- a/src/registry/config.go
+++ b/src/registry/config.go
@@ -73,6 +73,18 @@
 	ColdRate float64
 	// Models are those that the service's engines hold; none for other services.
 	Models []string
+	// Scaling bounds what may be ordered; nil if nothing may.
+	Scaling *Scaling
+}
+
+// Scaling says how endpoints of a service may be ordered.
+type Scaling struct {
+	// Least and Most bound the number of endpoints in a data centre.
+	Least, Most int
+	// StartTime is the time from an order until the endpoint serves.
+	StartTime time.Duration
+	// Prices are what an endpoint costs by data centre, against each other.
+	Prices map[string]float64
 }
 
 // Workspace is an owner of keys.
--- a/src/registry/members.go
+++ b/src/registry/members.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
 	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/quarantine"
 	"sesamepitch/src/rowstore"
 
 	"github.com/go-logr/logr"
@@ -21,6 +23,8 @@
 	// announceRetry is the time between tries that failed.
 	announceRetry = 500 * time.Millisecond
 	announceTime  = 1500 * time.Millisecond
+	// announceGap is the least time between two renewals.
+	announceGap = 200 * time.Millisecond
 	// meetTime is how long instances that start together need to announce
 	// themselves.
 	meetTime = 1200 * time.Millisecond
@@ -36,6 +40,8 @@
 	Cores   float64 `json:"cores"`
 	Started int64   `json:"started"`
 	Renewal int64   `json:"renewal"`
+	// Crashes are the contents that have crashed endpoints at the instance.
+	Crashes []quarantine.Report `json:"crashes,omitempty"`
 }
 
 // Members lists the instances by their rows.
@@ -49,6 +55,8 @@
 	cores   float64
 	seeds   []string
 	started int64
+	// suspects are told in the row and learnt from others'.
+	suspects *quarantine.List
 
 	mu sync.Mutex
 	// firstAt is when rows were first seen.
@@ -61,15 +69,17 @@
 	address string
 	centre  string
 	cores   float64
+	// started is the start of the instance's process in Unix milliseconds.
+	started int64
 	seen    time.Time
 }
 
 // NewMembers returns the list for an instance of a data centre with an address for peers; seeds
-// are asked before any row is known.
-func NewMembers(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, name, centre, address string, cores float64, seeds []string) *Members {
+// are asked before any row is known. The instances share their suspects.
+func NewMembers(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, name, centre, address string, cores float64, seeds []string, suspects *quarantine.List) *Members {
 	return &Members{
 		clock: clock, log: log, table: table, name: name, centre: centre, address: address, cores: cores, seeds: seeds,
-		started: clock.Now().UnixMilli(), known: map[string]seenMember{},
+		started: clock.Now().UnixMilli(), suspects: suspects, known: map[string]seenMember{},
 	}
 }
 
@@ -87,7 +97,10 @@
 			delete(m.known, name)
 			continue
 		}
-		m.known[name] = seenMember{address: decoded.Address, centre: decoded.Centre, cores: decoded.Cores, seen: m.clock.Now()}
+		if name != m.name {
+			m.suspects.Learn(fmt.Sprint(name, "@", decoded.Started), decoded.Crashes)
+		}
+		m.known[name] = seenMember{address: decoded.Address, centre: decoded.Centre, cores: decoded.Cores, started: decoded.Started, seen: m.clock.Now()}
 	}
 }
 
@@ -138,6 +151,24 @@
 	return len(m.known) > 1 && now.Sub(m.firstAt) >= meetTime
 }
 
+// agedAfter is by how much later another instance must have started; clocks of
+// instances may differ by less.
+const agedAfter = 3 * time.Second
+
+// IsAged tells whether a live instance has started notably later than this one.
+func (m *Members) IsAged() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	for _, other := range m.known {
+		later := time.Duration(other.started-m.started) * time.Millisecond
+		if now.Sub(other.seen) < memberTime && later > agedAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // Elsewhere returns the addresses of the instances of other data centres.
 func (m *Members) Elsewhere() []string {
 	m.mu.Lock()
@@ -159,19 +190,33 @@
 			m.log.Info("instance not announced", "cause", err.Error())
 			wait = announceRetry
 		}
+		if !m.rest(ctx, announceGap) {
+			return ctx.Err()
+		}
 		select {
-		case <-m.clock.After(wait):
+		case <-m.clock.After(wait - announceGap):
+		case <-m.suspects.News():
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// rest waits and tells whether ctx still goes on.
+func (m *Members) rest(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-m.clock.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (m *Members) announce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTime)
 	defer cancel()
 	m.renewal++
-	row := member{Address: m.address, Centre: m.centre, Cores: m.cores, Started: m.started, Renewal: m.renewal}
+	row := member{Address: m.address, Centre: m.centre, Cores: m.cores, Started: m.started, Renewal: m.renewal, Crashes: m.suspects.Reports()}
 	_, err := m.table.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: memberKey(m.name), Value: rowstore.Encode(row)}}})
 	return err
 }
--- a/src/registry/registry.go
+++ b/src/registry/registry.go
@@ -111,6 +111,13 @@
 	return maps.Clone(r.endpoints)
 }
 
+// CentresOut returns the data centres that were taken out.
+func (r *Registry) CentresOut() map[string]bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return maps.Clone(r.out)
+}
+
 // Versions returns the newest named weight version by model.
 func (r *Registry) Versions() map[string]int64 {
 	r.mu.RLock()
