A driver leaves when the store answers; a break that an engine survives is no crash

A job whose commits had just ended held a hand-over up for its whole time limit; it no longer does.

Calls through peers and steps of the lease are shorter now; a call that waited for its deadline in vain counts against the direct way (TestSilentStore).

For the innocent prompts: a break was held to be a crash whether or not the engine had ended. Engines of our own interface now report the start of their process, as those of the users' platform do, and a break that the process survived is taken back. TestSurvivedBreakIsNoCrash.

--- a/src/driver/adopt.go
+++ b/src/driver/adopt.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, before{}, err
 	}
-	j := &job{Job: loaded, target: newTarget(loaded), claim: claim, wake: make(chan struct{}, 1), handOver: make(chan chan struct{})}
+	j := &job{Job: loaded, target: newTarget(loaded), claim: claim, wake: make(chan struct{}, 1), handOver: make(chan chan struct{}), committed: make(chan struct{})}
 	if claim.IsFirst() {
 		return j, before{}, nil
 	}
--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -34,8 +34,10 @@
 	yieldRest  = 4 * time.Second
 	// defaultReadable is used where the settings name no time.
 	defaultReadable = 10 * time.Minute
-	// leaseCall bounds one step of the lease.
-	leaseCall = 1500 * time.Millisecond
+	// leaseCall bounds one step of the lease: a holder tries twice within its term.
+	leaseCall = 600 * time.Millisecond
+	// leavePause is the time between tries to hand over.
+	leavePause = 100 * time.Millisecond
 )
 
 // NewLease returns the driver's lease for an instance; drivers must not take
@@ -67,6 +69,9 @@
 	checks   *invariant.Recorder
 	readable time.Duration
 	leaving  chan struct{}
+	// left is closed once the lease is given up; patience is how long that may take.
+	left     chan struct{}
+	patience time.Duration
 	// weakSince is since when a better suited instance has been known while this
 	// one drives; until restUntil this one takes no part in the lease.
 	weakSince time.Time
@@ -96,7 +101,8 @@
 func New(clock sesamepitch.Clock, log logr.Logger, store sesamepitch.Store, ledger *batch.Ledger, known *registry.Registry, engines sesamepitch.Engines, control sesamepitch.EngineControl, l *lease.Lease, instance string, fitness Fitness, options ...Option) *Driver {
 	d := &Driver{
 		clock: clock, log: log, store: store, ledger: ledger, registry: known, engines: engines, control: control,
-		lease: l, instance: instance, fitness: fitness, readable: defaultReadable, leaving: make(chan struct{}),
+		lease: l, instance: instance, fitness: fitness, readable: defaultReadable,
+		leaving: make(chan struct{}), left: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(d)
@@ -104,8 +110,14 @@
 	return d
 }
 
-// Leave makes the driver give the lease up and take no part in it any more.
-func (d *Driver) Leave() { close(d.leaving) }
+// Leave makes the driver give the lease up and take no part in it any more. While
+// the store is away nothing can be handed over: it goes on driving then, for as
+// long as it has patience. The returned channel is closed once it has left.
+func (d *Driver) Leave(patience time.Duration) <-chan struct{} {
+	d.patience = patience
+	close(d.leaving)
+	return d.left
+}
 
 // active is a running session.
 type active struct {
@@ -152,11 +164,8 @@
 		select {
 		case <-d.clock.After(d.pause()):
 		case <-d.leaving:
-			if current != nil {
-				d.handOver(ctx, current)
-				current = nil
-			}
-			d.release(ctx)
+			d.depart(ctx, current)
+			current = nil
 			<-ctx.Done()
 			return ctx.Err()
 		case <-ctx.Done():
@@ -165,13 +174,38 @@
 	}
 }
 
-func (d *Driver) step(ctx context.Context) {
+// depart hands over what this instance drives, as soon as the store answers.
+func (d *Driver) depart(ctx context.Context, current *active) {
+	defer close(d.left)
+	until := d.clock.Now().Add(d.patience)
+	for current != nil && ctx.Err() == nil {
+		answered := d.step(ctx)
+		if current = d.follow(ctx, current); current == nil {
+			break
+		}
+		if _, _, held := d.lease.Held(); answered && held || !d.clock.Now().Before(until) {
+			d.handOver(ctx, current)
+			break
+		}
+		select {
+		case <-d.clock.After(leavePause):
+		case <-ctx.Done():
+		}
+	}
+	d.release(ctx)
+}
+
+// step renews the lease or looks whether it can be taken; it tells whether the
+// store answered.
+func (d *Driver) step(ctx context.Context) bool {
 	d.lease.SetReluctance(d.reluctance())
 	ctx, cancel := context.WithTimeout(ctx, leaseCall)
 	defer cancel()
 	if err := d.lease.Step(ctx); err != nil {
 		d.log.Info("lease not renewed", "cause", err.Error())
+		return false
 	}
+	return true
 }
 
 // reluctance is how much longer than others this instance waits for a lease that
--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -232,7 +232,8 @@
 		})
 	}
 	r.t.Cleanup(kill)
-	return d.Leave, kill
+	leave = func() { d.Leave(3 * time.Second) }
+	return leave, kill
 }
 
 func (r *rig) submit(id string, minVersion int64, items ...string) {
@@ -473,6 +474,29 @@
 	assert.Assert(t, runs[1] >= 1, "the second run went on after event %d", runs[1])
 }
 
+// TestLeaveWhileStoreIsAway stops a driver while the store answers nobody: it goes
+// on with its texts until they can be handed over, and leaves then.
+func TestLeaveWhileStoreIsAway(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 2)
+	slow := script{last: textEvents, err: sesamepitch.ErrComplete, pace: 350 * time.Millisecond}
+	r.engines.scripts["x"] = []script{slow, whole}
+	leave, _ := r.drive("a")
+	r.submit("j", 1, "x")
+	for len(r.engines.runsOf("x")) == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(400 * time.Millisecond)
+	r.store.SetFault(func(string, string) standin.Outcome { return standin.Refused })
+	leave()
+	time.Sleep(1500 * time.Millisecond)
+	r.store.SetFault(func(string, string) standin.Outcome { return standin.Served })
+	r.drive("b")
+	assert.Equal(t, r.results("j", 1, 8*time.Second)["x"].Text, textOf("x"))
+	runs := r.engines.runsOf("x")
+	assert.Assert(t, len(runs) == 1 || len(runs) == 2 && runs[1] >= 3, "runs %v", runs)
+}
+
 // TestKilledDriver is followed by another one once its lease has lapsed; what
 // it had listed stays, and nothing is listed twice.
 func TestKilledDriver(t *testing.T) {
--- a/src/driver/handover.go
+++ b/src/driver/handover.go
@@ -49,6 +49,8 @@
 	select {
 	case j.handOver <- ended:
 		<-ended
+	case <-j.committed:
+		return // all is listed, or another driver has the job
 	case <-ctx.Done():
 		return
 	}
--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -35,15 +35,18 @@
 	pending []batch.Result
 	// handOver ends the job's commits; what it receives is closed then.
 	handOver chan chan struct{}
-	wake     chan struct{}
-	cancel   context.CancelFunc
-	ended    bool
-	listed   int
+	// committed is closed once the job's commits have ended.
+	committed chan struct{}
+	wake      chan struct{}
+	cancel    context.CancelFunc
+	ended     bool
+	listed    int
 }
 
 // commit lists the job's results as they come, until ctx ends, all are listed
 // or another process has taken the job over.
 func (s *session) commit(ctx context.Context, j *job) {
+	defer close(j.committed)
 	keepNext := s.clock.After(keepEvery)
 	keepDue := false
 	for {
--- a/src/endpoint/endpoint.go
+++ b/src/endpoint/endpoint.go
@@ -309,6 +309,8 @@
 	Running int   `json:"running"`
 	Version int64 `json:"version"`
 	Cold    bool  `json:"cold"`
+	// Born is the start of the engine's process in Unix milliseconds.
+	Born int64 `json:"born"`
 }
 
 const controlTimeout = 800 * time.Millisecond
@@ -330,7 +332,7 @@
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxLine)).Decode(&load); err != nil {
 		return pool.Load{}, fail(sesamepitch.KindUnavailable, err)
 	}
-	return pool.Load{Version: load.Version, Cold: load.Cold}, nil
+	return pool.Load{Version: load.Version, Cold: load.Cold, Born: load.Born}, nil
 }
 
 // loadOrder asks an engine to load a weight version.
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -344,14 +344,20 @@
 func (i *Instance) drain(server *http.Server) {
 	i.log.Info("instance drains")
 	i.leaving.Store(true)
-	i.driver.Leave()
-	<-i.clock.After(balancerTime)
-	finishing, cancel := context.WithTimeout(context.Background(), max(i.settings.Bounds.Grace-balancerTime-exitLead, leaveTime))
+	serving := max(i.settings.Bounds.Grace-exitLead, balancerTime+leaveTime)
+	finishing, cancel := context.WithTimeout(context.Background(), serving)
 	defer cancel()
+	left := i.driver.Leave(serving - leaveTime)
+	<-i.clock.After(balancerTime)
 	if err := server.Shutdown(finishing); err != nil {
 		i.log.Info("requests cut", "cause", err.Error())
 		_ = server.Close()
 	}
+	select {
+	case <-left:
+	case <-finishing.Done():
+		i.log.Info("driver did not leave in time")
+	}
 	leaving, done := context.WithTimeout(context.Background(), leaveTime)
 	defer done()
 	i.meter.Flush(leaving)
--- a/src/notice/notice.go
+++ b/src/notice/notice.go
@@ -272,19 +272,28 @@
 	return Notice{Kind: Cleared, Name: fingerprint, Seq: now.UnixNano(), Origin: origin, At: now}
 }
 
+// NewSurvived returns the notice that an endpoint has survived what was taken for
+// a crash by a content.
+func (s *Set) NewSurvived(fingerprint, event, origin string) Notice {
+	return Notice{Kind: Cleared, Name: fingerprint + "/" + event, Seq: 1, Origin: origin, At: s.clock.Now()}
+}
+
 // NewVersion returns the notice that a weight version is published.
 func (s *Set) NewVersion(model string, version int64, object, origin string) Notice {
 	return Notice{Kind: Version, Name: model, Seq: version, Origin: origin, Value: object, At: s.clock.Now()}
 }
 
 // Crashes counts the recent crash events of a content since it was last
-// answered whole.
+// answered whole, without those that the endpoint has survived.
 func (s *Set) Crashes(fingerprint string) int {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	count := 0
 	cleared := s.held[string(Cleared)+"/"+fingerprint].At
-	for _, at := range s.crashes[fingerprint] {
+	for event, at := range s.crashes[fingerprint] {
+		if _, survived := s.held[string(Cleared)+"/"+fingerprint+"/"+event]; survived {
+			continue
+		}
 		if at.After(cleared) && s.clock.Now().Sub(at) < crashMemory {
 			count++
 		}
--- a/src/pool/cell.go
+++ b/src/pool/cell.go
@@ -64,6 +64,10 @@
 	// failedAt is when a stream last failed, aliveAt when a whole answer or a
 	// report last showed that the endpoint lives.
 	failedAt, aliveAt time.Time
+	// born is the start of the engine's process as its last report said; breaks are
+	// the contents held to have crashed it since.
+	born   int64
+	breaks []crash
 	// idleSince is when the last stream ended; zero while there are any.
 	idleSince time.Time
 	// probation is set after a pause, in which the endpoint may have started
--- a/src/pool/owner.go
+++ b/src/pool/owner.go
@@ -36,6 +36,9 @@
 type Load struct {
 	Version int64
 	Cold    bool
+	// Born is the start of the engine's process in Unix milliseconds; zero if the
+	// engine does not say.
+	Born int64
 }
 
 // LoadReader reads load reports from engines.
@@ -351,7 +354,9 @@
 	if !g.healthy && !state.contents.weakEvidence(r.Fingerprint) {
 		return
 	}
-	o.notices.Add("", o.notices.NewCrash(r.Fingerprint, state.crashEvent(g), r.Entry))
+	event := state.crashEvent(g)
+	endpoint.broke(r.Fingerprint, event, o.clock.Now())
+	o.notices.Add("", o.notices.NewCrash(r.Fingerprint, event, r.Entry))
 	o.log.Info("content suspected", "fingerprint", r.Fingerprint, "endpoint", r.Endpoint, "request", r.ID, "crashes", o.notices.Crashes(r.Fingerprint))
 }
 
@@ -436,6 +441,10 @@
 	}
 	endpoint := state.endpoints[name]
 	endpoint.aliveAt = maxTime(endpoint.aliveAt, asked)
+	for _, c := range endpoint.takeBorn(load.Born, asked) {
+		o.notices.Add("", o.notices.NewSurvived(c.fingerprint, c.event, o.centre))
+		o.log.Info("suspicion dropped", "fingerprint", c.fingerprint, "endpoint", name, "reason", "the engine's process has not ended")
+	}
 	if load.Version > endpoint.version && !o.clock.Now().Before(endpoint.distrust) {
 		// A report may run ahead of the truth; the chunks correct it.
 		endpoint.version = load.Version
--- a/src/pool/owner_test.go
+++ b/src/pool/owner_test.go
@@ -23,6 +23,8 @@
 	owns bool
 	// loaded is whether the engines report that they are warm.
 	loaded bool
+	// born is the start of the engines' processes as they report it.
+	born int64
 }
 
 func (m *membership) View() *centre.View        { return m.view }
@@ -31,7 +33,7 @@
 func (m *membership) NoteWarm([]string)         {}
 func (m *membership) ReadLoad(context.Context, string) (pool.Load, error) {
 	if m.loaded {
-		return pool.Load{}, nil
+		return pool.Load{Born: m.born}, nil
 	}
 	return pool.Load{}, context.Canceled
 }
@@ -300,3 +302,38 @@
 	}
 	return "e1"
 }
+
+// TestSurvivedBreakIsNoCrash has a content break off on an engine, and the engine
+// report the start of its process: if that is the same as before the break, the
+// content is not held to have crashed it.
+func TestSurvivedBreakIsNoCrash(t *testing.T) {
+	cases := []struct {
+		name string
+		// before and after are the starts that are reported before and after the break.
+		before, after int64
+		crashes       int
+	}{
+		{"the process goes on", 7, 7, 0},
+		{"the process is a new one", 7, 9, 1},
+		{"the engine does not say", 0, 0, 1},
+		{"it was not known before", 0, 9, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench("e1", "e2")
+			report := func(born int64) {
+				b.member.loaded, b.member.born = true, born
+				b.clock.Advance(2 * time.Second)
+				b.owner.KeepCells()
+				b.owner.ReadLoads(t.Context())
+			}
+			report(c.before)
+			r, reply := b.acquire(func(r *pool.Request) { r.Fingerprint = "x" })
+			assert.Equal(t, reply.State, pool.Granted)
+			b.release(r, reply.Endpoint, pool.Crashed)
+			assert.Equal(t, b.notices.Crashes("x"), 1)
+			report(c.after)
+			assert.Equal(t, b.notices.Crashes("x"), c.crashes)
+		})
+	}
+}
--- a/src/relay/relay.go
+++ b/src/relay/relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -16,7 +17,7 @@
 	// directRetry is the time between tries of the direct way while it fails.
 	directRetry = 700 * time.Millisecond
 	// peerTimeout bounds one call through a peer, beside the wait of a feed.
-	peerTimeout = 1500 * time.Millisecond
+	peerTimeout = 800 * time.Millisecond
 	// peersTried is how many peers one call asks at most.
 	peersTried = 2
 )
@@ -112,8 +113,8 @@
 func (s *Store) turnedAway(ctx context.Context, err error) bool {
 	kind := sesamepitch.KindOf(err)
 	failed := kind == sesamepitch.KindUnavailable || kind == sesamepitch.KindOverloaded || kind == sesamepitch.KindUnknown
-	if failed && ctx.Err() != nil {
-		return true
+	if failed && errors.Is(ctx.Err(), context.Canceled) {
+		return true // says nothing of the store
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/src/relay/relay_test.go
+++ b/src/relay/relay_test.go
@@ -136,3 +136,36 @@
 	assert.Assert(t, store.Ping(context.Background(), serve(t, memory), time.Second))
 	assert.Assert(t, !store.Ping(context.Background(), "127.0.0.1:1", 200*time.Millisecond))
 }
+
+// silent is a store whose answers do not come.
+type silent struct{ *standin.Memory }
+
+func (silent) Get(ctx context.Context, _ string) (sesamepitch.Row, error) {
+	<-ctx.Done()
+	return sesamepitch.Row{}, &relay.Error{Op: "silent", Kind: sesamepitch.KindUnavailable, Err: ctx.Err()}
+}
+
+// TestSilentStore asks a store that is silent towards this instance: once a call
+// has waited for its time, the next one goes through a peer. A caller that
+// leaves says nothing of the store.
+func TestSilentStore(t *testing.T) {
+	memory := standin.NewMemory()
+	_, err := memory.Commit(context.Background(), sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: "t//a", Value: []byte("x")}}})
+	assert.NilError(t, err)
+	dialer := peer.NewDialer("")
+	defer dialer.Close()
+	served := serve(t, memory)
+	store := relay.New(sesamepitch.SystemClock{}, logr.Discard(), silent{memory}, dialer, func() []string { return []string{served} })
+	get := func(ctx context.Context) error {
+		_, err := store.Get(ctx, "t//a")
+		return err
+	}
+	leaving, leave := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, leave)
+	assert.Assert(t, get(leaving) != nil)
+	for _, answered := range []bool{false, true} {
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		assert.Equal(t, get(ctx) == nil, answered)
+		cancel()
+	}
+}
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -64,6 +64,8 @@
 	Running int   `json:"running"`
 	Version int64 `json:"version"`
 	Cold    bool  `json:"cold"`
+	// Born is the start of the engine's process in Unix milliseconds.
+	Born int64 `json:"born"`
 }
 
 // EngineSeen is what the engine saw, for tests and reports.
@@ -118,16 +120,18 @@
 	// coldSince is when a warm engine turned cold; zero after a start.
 	coldSince time.Time
 	downTill  time.Time
-	life      int
-	lastID    string
-	cache     []string
-	seen      EngineSeen
-	mux       *http.ServeMux
+	// born is the start of the engine's present process.
+	born   time.Time
+	life   int
+	lastID string
+	cache  []string
+	seen   EngineSeen
+	mux    *http.ServeMux
 }
 
 // NewEngine returns an engine with these settings.
 func NewEngine(settings EngineSettings) *Engine {
-	e := &Engine{settings: settings, version: settings.Version, reported: settings.Version, mux: http.NewServeMux()}
+	e := &Engine{settings: settings, born: time.Now(), version: settings.Version, reported: settings.Version, mux: http.NewServeMux()}
 	e.seen.Requests = map[string]int{}
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
 	e.mux.HandleFunc("GET /load", e.load)
@@ -277,6 +281,7 @@
 	e.cache = nil
 	e.coldTill, e.coldSince = time.Time{}, time.Time{}
 	e.downTill = time.Now().Add(e.settings.Restart)
+	e.born = e.downTill
 	e.seen.Crashes++
 }
 
@@ -363,7 +368,7 @@
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	load := EngineLoad{Running: e.running, Version: e.reported, Cold: e.coldTill.IsZero() || time.Now().Before(e.coldTill)}
+	load := EngineLoad{Running: e.running, Version: e.reported, Cold: e.coldTill.IsZero() || time.Now().Before(e.coldTill), Born: e.born.UnixMilli()}
 	e.mu.Unlock()
 	writeJSON(w, load)
 }
