--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -33,13 +33,6 @@
 	// missCost is what an engine that was silent or out of reach costs for each
 	// time, until it has made an event again.
 	missCost = 1.0
-	// guardCost is what each urgent text of an engine costs items that are not:
-	// each of them would slow it down.
-	guardCost = 0.25
-	// packGain is what an engine that already has urgent texts, fewer than
-	// packMost, is worth to another one.
-	packGain = 0.15
-	packMost = 3
 	// centreCost is what an engine costs in the data centre of one that the item
 	// has just lost: the data centre may be cut off.
 	centreCost = 0.5
@@ -51,8 +44,6 @@
 	// listed engines may get new items as far as the list says.
 	listed  bool
 	running int
-	// urgent counts the running texts that have no time to lose.
-	urgent int
 	// versions are the newest known weight versions by model.
 	versions map[string]int64
 	// loading is the model whose weights are being loaded, empty for none, and
@@ -171,8 +162,6 @@
 	model      string
 	minVersion int64
 	group      string
-	// urgent items have no time to lose.
-	urgent bool
 	// exact asks for one version, zero for any from minVersion on.
 	exact int64
 	// avoid is an engine that just failed the item; avoidCentre is its data
@@ -241,12 +230,6 @@
 	if e.entry.Reclaimable {
 		cost += reclaimCost
 	}
-	switch {
-	case !n.urgent:
-		cost += guardCost * float64(e.urgent)
-	case e.urgent > 0 && e.urgent < packMost:
-		cost -= packGain
-	}
 	if e.entry.ID == n.avoid {
 		cost++
 	}
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -102,7 +102,6 @@
 	if now.Sub(s.tickedAt) >= tick {
 		s.tickedAt = now
 		s.syncEngines()
-		s.countUrgent(now)
 		s.endStalled(now)
 		s.migrate(now)
 		s.giveUpDue(now)
@@ -163,23 +162,10 @@
 	}
 }
 
-// countUrgent counts each engine's texts that have no time to lose.
-func (s *session) countUrgent(now time.Time) {
-	for _, e := range s.states {
-		e.urgent = 0
-	}
-	pace := medianPace(s.states)
-	for _, t := range s.runningTasks() {
-		if t.isUrgent(now, pace) {
-			t.run.engine.urgent++
-		}
-	}
-}
-
-// needOf returns what a task asks of an engine; pace is the engines' median. An
-// empty service means that no route allows the task now.
-func (s *session) needOf(t *task, now time.Time, pace time.Duration) need {
-	n := need{model: t.job.Model, minVersion: t.job.MinVersion, group: t.item.Group, urgent: t.isUrgent(now, pace), avoid: t.avoid, avoidCentre: t.avoidCentre}
+// needOf returns what a task asks of an engine. An empty service means that no
+// route allows the task now.
+func (s *session) needOf(t *task) need {
+	n := need{model: t.job.Model, minVersion: t.job.MinVersion, group: t.item.Group, avoid: t.avoid, avoidCentre: t.avoidCentre}
 	config := s.registry.Config()
 	if config == nil {
 		return n
@@ -240,10 +226,9 @@
 			}
 		}
 	}
-	pace := medianPace(s.states)
-	byUrgency(waiting, now, pace)
+	byUrgency(waiting, now, medianPace(s.states))
 	for _, t := range waiting {
-		n := s.needOf(t, now, pace)
+		n := s.needOf(t)
 		reserved := t.release()
 		if n.service == "" {
 			continue
@@ -254,9 +239,6 @@
 		}
 		if e := choose(s.states, now, n); e != nil {
 			s.start(ctx, t, e)
-			if n.urgent {
-				e.urgent++
-			}
 		}
 	}
 }
--- a/src/driver/task.go
+++ b/src/driver/task.go
@@ -17,8 +17,6 @@
 	// tokensPerEvent turns an estimate in tokens into events until texts have
 	// shown the figure.
 	tokensPerEvent = 59
-	// urgentSlack is the least time that a text has left over without being urgent.
-	urgentSlack = time.Second
 	// beyondShare is one over the part of its present length that a text is
 	// expected to grow by at least.
 	beyondShare = 3
@@ -131,11 +129,6 @@
 	})
 }
 
-// isUrgent tells whether the text has no time to lose.
-func (t *task) isUrgent(now time.Time, pace time.Duration) bool {
-	return t.slack(now, pace) < urgentSlack
-}
-
 // slack is the time that is left beyond what the text takes at a pace; zero for
 // one that is not known yet.
 func (t *task) slack(now time.Time, pace time.Duration) time.Duration {
--- a/src/driver/watch.go
+++ b/src/driver/watch.go
@@ -64,7 +64,7 @@
 		if now.Sub(t.movedAt) < movePause {
 			continue
 		}
-		n := s.needOf(t, now, median)
+		n := s.needOf(t)
 		n.avoid = e.entry.ID
 		other := choose(s.states, now, n)
 		if other == nil || other == e || other.isSlow(median) {
