Orders that failed are repeated after a pause, and ask for no more than the operators allow

Read again as a newcomer: an order whose call failed was repeated each half second, and a strength above the operators' bound was asked for whole. TestFailedOrder.

--- a/src/scaling/scaler.go
+++ b/src/scaling/scaler.go
@@ -127,6 +127,8 @@
 			if k.refused(s.clock.Now(), o, presentOf(endpoints), out) && !s.keep(ctx, service, k) {
 				return
 			}
+		default:
+			k.failed(s.clock.Now(), o)
 		}
 	}
 }
--- a/src/scaling/scaling_test.go
+++ b/src/scaling/scaling_test.go
@@ -93,6 +93,24 @@
 	}
 }
 
+// TestFailedOrder repeats an order that failed after a pause, and asks for no more
+// than the operators allow.
+func TestFailedOrder(t *testing.T) {
+	k := newKeeper(bounds)
+	k.adopt(Strength{Base: map[string]int{"a": 9}})
+	var asked []time.Duration
+	for at := time.Duration(0); at < 6*time.Second; at += lookEvery {
+		now := start.Add(at)
+		k.look(now, fleet("a a"))
+		for _, o := range k.orders(now, nil) {
+			assert.Equal(t, o, order{centre: "a", count: bounds.Most})
+			asked = append(asked, at)
+			k.failed(now, o)
+		}
+	}
+	assert.DeepEqual(t, asked, []time.Duration{time.Second, 2500 * time.Millisecond, 4 * time.Second, 5500 * time.Millisecond})
+}
+
 // TestGrowth takes endpoints that somebody else added for wanted once they have
 // stayed.
 func TestGrowth(t *testing.T) {
