Orders to engines keep their connection

Ruled out: items that come after the idle time as the main part. Guarded connections are kept now; each write still asks the lease, and one that fails is reset, so that nothing waits in it (before, a closed connection could still deliver what it had buffered). An order whose kept connection the engine had closed is sent once more at once; the count that it names keeps it from being carried out twice. TestGuard, TestDelivery.

--- a/src/driver/delivery.go
+++ b/src/driver/delivery.go
@@ -36,6 +36,17 @@
 	accepted bool
 	// busy is set while the engine carries out an order.
 	busy bool
+	// broken is set once a connection has broken off at once.
+	broken bool
+}
+
+// broke has the order sent again soon after its connection broke off at once, the
+// first time that this happens. The count that it names keeps it from being
+// carried out twice.
+func (d *delivery) broke() {
+	if !d.broken {
+		d.broken, d.sentAt = true, time.Time{}
+	}
 }
 
 // isDue tells whether to send the order now.
--- a/src/driver/engine_test.go
+++ b/src/driver/engine_test.go
@@ -647,6 +647,37 @@
 	assert.DeepEqual(t, runs, []time.Duration{0, 0, 0, time.Second, 3 * time.Second, 7 * time.Second})
 }
 
+// TestDelivery says when an order is sent again after what became of it.
+func TestDelivery(t *testing.T) {
+	cases := []struct {
+		name string
+		// outcome notes what became of the order that was sent at the start.
+		outcome func(d *delivery)
+		// again is when it is due; zero for never within ten seconds.
+		again time.Duration
+	}{
+		{"no answer", func(*delivery) {}, orderAgain + loadPoll/2},
+		{"broken off at once", func(d *delivery) { d.broke() }, loadPoll / 2},
+		{"broken off twice", func(d *delivery) { d.broke(); d.sentAt = start; d.broke() }, orderAgain + loadPoll/2},
+		{"accepted", func(d *delivery) { d.accepted = true }, 0},
+		{"accepted and dropped", func(d *delivery) { d.accepted = true; d.reported(false, start.Add(2*time.Second)) }, orderAgain + loadPoll/2},
+		{"the engine is busy", func(d *delivery) { d.reported(true, start) }, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := delivery{sentAt: start}
+			c.outcome(&d)
+			again := time.Duration(0)
+			for at := loadPoll / 2; at < 10*time.Second && again == 0; at += loadPoll / 2 {
+				if d.isDue(start.Add(at)) {
+					again = at
+				}
+			}
+			assert.Equal(t, again, c.again)
+		})
+	}
+}
+
 // TestPartialProgress keeps a text whose last events were made by newer weights,
 // in parts that do not take all of it: each part names the versions of its own
 // events, and a driver that finds only the first part knows of no others.
--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -31,6 +31,9 @@
 	orderAgain = 1500 * time.Millisecond
 	// reportLag is how old an engine's report may be.
 	reportLag = 600 * time.Millisecond
+	// brokenTime is within which an order fails whose kept connection the engine
+	// had closed.
+	brokenTime = 150 * time.Millisecond
 	// leaseLead is how long the lease must still last for an order to go.
 	leaseLead = 600 * time.Millisecond
 )
@@ -205,6 +208,8 @@
 		s.accepted(e, sentAt.Add(l.usualTime()))
 	case sesamepitch.KindOf(err) == sesamepitch.KindConflict:
 		progress.sentAt = time.Time{} // the report tells with which count to send again
+	case l.clock.Now().Sub(sentAt) < brokenTime:
+		progress.broke()
 	}
 	return holds
 }
--- a/src/lease/guard.go
+++ b/src/lease/guard.go
@@ -10,7 +10,12 @@
 	sesamepitch "sesamepitch/src"
 )
 
-const dialTimeout = time.Second
+const (
+	dialTimeout = time.Second
+	// guardIdleTime is how long a connection is kept for the next call; orders to
+	// one receiver come every few seconds.
+	guardIdleTime = 9 * time.Second
+)
 
 var errNotHeld = errors.New("the lease is not held any more")
 
@@ -31,16 +36,24 @@
 }
 
 // Guard returns a transport whose connections send only while the lease is
-// held. Connections are not kept, so that no byte waits in one.
+// held. A connection is kept for the next call to the same receiver; one on which
+// a call has failed is reset, so that what was not delivered never will be.
 func Guard(l *Lease, source string) *http.Transport {
 	dialer := sesamepitch.NewDialer(source, dialTimeout)
 	return &http.Transport{
-		DisableKeepAlives: true,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     guardIdleTime,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				if err := tcp.SetLinger(0); err != nil {
+					_ = conn.Close()
+					return nil, err
+				}
+			}
 			return guardedConn{Conn: conn, lease: l}, nil
 		},
 	}
