--- a/src/command/entry.go
+++ b/src/command/entry.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strconv"
+	"strings"
 
 	"sesamepitch/platform"
 	"sesamepitch/src/instance"
@@ -27,8 +28,15 @@
 // readSettings reads the settings file and adds what the command line says.
 func readSettings(o EntryOptions) (site.Settings, error) {
 	settings, err := platform.ReadSettings()
+	if err != nil {
+		return settings, err
+	}
+	settings.PeersListen = o.PeersListen
 	if o.MetricsPort > 0 {
 		settings.Metrics = net.JoinHostPort(settings.Source, strconv.Itoa(o.MetricsPort))
 	}
-	return settings, err
+	if faults := settings.Faults(); len(faults) > 0 {
+		return settings, usageError{strings.Join(faults, "; ")}
+	}
+	return settings, nil
 }
--- a/src/command/options.go
+++ b/src/command/options.go
@@ -46,7 +46,8 @@
 
 // EntryOptions are the options of entry, beside its settings file.
 type EntryOptions struct {
-	MetricsPort int `long:"metrics-port" env:"SESAMEPITCH_METRICS_PORT" description:"port of the metrics; 0 for none" default:"9464"`
+	PeersListen string `long:"peers-listen" env:"SESAMEPITCH_PEERS_LISTEN" description:"IP:port to listen on for other instances, if they reach this one at another"`
+	MetricsPort int    `long:"metrics-port" env:"SESAMEPITCH_METRICS_PORT" description:"port of the metrics; 0 for none" default:"9464"`
 }
 
 // Remote are the options of commands that call a daemon.
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -266,7 +266,7 @@
 	if l.readiness, err = net.Listen("tcp", i.settings.Readiness); err != nil {
 		return nil, err
 	}
-	if l.peers, err = net.Listen("tcp", i.settings.Peers); err != nil {
+	if l.peers, err = net.Listen("tcp", i.settings.PeersAddress()); err != nil {
 		return nil, err
 	}
 	if i.settings.Metrics == "" {
--- a/src/site/settings.go
+++ b/src/site/settings.go
@@ -17,10 +17,13 @@
 	Region   string
 	// Source is the IP to send from.
 	Source string
-	// Callers, Readiness and Peers are the IP:port to listen on.
+	// Callers and Readiness are the IP:port to listen on, Peers that at which other
+	// instances reach this one.
 	Callers   string
 	Readiness string
 	Peers     string
+	// PeersListen is where Peers is served, if it differs.
+	PeersListen string
 	// Metrics is the IP:port of the metrics; not served if empty.
 	Metrics string
 	// Seeds are Peers addresses of other instances; they may be out of date.
@@ -54,6 +57,14 @@
 	Status time.Duration
 }
 
+// PeersAddress returns the IP:port to listen on for other instances.
+func (s Settings) PeersAddress() string {
+	if s.PeersListen != "" {
+		return s.PeersListen
+	}
+	return s.Peers
+}
+
 // Faults names everything that is wrong with the settings.
 func (s Settings) Faults() []string {
 	var faults []string
@@ -71,6 +82,7 @@
 		{"the callers' address", s.Callers},
 		{"the readiness address", s.Readiness},
 		{"the peers' address", s.Peers},
+		{"the address to listen on for peers", s.PeersAddress()},
 		{"the store's address", s.Store},
 	}
 	for _, a := range addresses {
