--- a/src/pool/crash.go
+++ b/src/pool/crash.go
@@ -2,8 +2,12 @@
 
 import "time"
 
-// bornLag is how old an engine's report of its own start may be.
-const bornLag = 500 * time.Millisecond
+const (
+	// bornLag is how old an engine's report of its own start may be.
+	bornLag = 500 * time.Millisecond
+	// keptBreaks bounds the breaks that wait for a report.
+	keptBreaks = 64
+)
 
 // crash is a break that is held against a content until the engine's next report
 // shows whether its process has ended.
@@ -18,6 +22,9 @@
 // broke notes a break that is held against a content.
 func (e *endpointState) broke(fingerprint, event string, now time.Time) {
 	e.breaks = append(e.breaks, crash{fingerprint: fingerprint, event: event, at: now, born: e.born})
+	if len(e.breaks) > keptBreaks {
+		e.breaks = e.breaks[1:]
+	}
 }
 
 // takeBorn takes an engine's start from a report that was asked for at a time,
