Reward calls: complete outputs are scored before they are listed

Ruled out: asking for the score at the instance that serves a read (several askers, positions fixed by the table); a second chooser of endpoints in the driver (the gateway's state of endpoints, cold shares and quarantine serve both). The gateway chooses the endpoint, at most two thirds of an endpoint's slots. A complete output without a score is checkpointed as complete, so that the next driver only asks for the score. A score is kept for an item that comes again with the same call. A malformed call refuses its job with 400 and names item and field; a malformed checkpoint is logged and costs no other item.

--- a/src/batch/batch_test.go
+++ b/src/batch/batch_test.go
@@ -350,11 +350,17 @@
 		{Item: 1, Attempt: 1, From: 0, Events: []string{"old", "old"}, Versions: []int64{3, 3}},
 		{Item: 1, Attempt: 2, From: 0, Events: []string{"x"}, Versions: []int64{5}},
 		{Item: 1, Attempt: 1, From: 2, Events: []string{"old"}, Versions: []int64{3}},
-		{Item: 2, Attempt: 2, From: 4, Events: []string{"without its start"}, Versions: []int64{3}},
+		{Item: 2, Attempt: 2, From: 4, Events: []string{"without its start"}, Versions: []int64{3}, Complete: true},
+		{Item: 0, Attempt: 1, From: 3, Complete: true},
 	}
 	assert.NilError(t, claim.Append(ctx, nil, parts))
-	outputs, err := ledger.Checkpoints(ctx, "j")
+	_, err = store.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: "progress/j/00001/000000000000009/000000", Value: []byte("{")}}})
 	assert.NilError(t, err)
+	outputs, faults, err := ledger.Checkpoints(ctx, "j")
+	assert.NilError(t, err)
+	assert.Equal(t, len(faults), 1, "a row that cannot be decoded costs no other item: %v", faults)
+	assert.Assert(t, outputs[0].Complete)
+	assert.Assert(t, !outputs[1].Complete && !outputs[2].Complete, "only an output with all its parts is complete")
 	assert.DeepEqual(t, outputs[0].Events, []string{"a", "b", "c"})
 	assert.DeepEqual(t, outputs[0].Versions, []int64{3, 3, 4})
 	assert.DeepEqual(t, outputs[1].Events, []string{"x"})
@@ -373,6 +379,13 @@
 	negative.Items[0].Tokens = -1
 	path := jobOf("j", "guild", 1, 1)
 	path.Items[0].Path = "p"
+	scored := func(first, second sesamepitch.RewardCall) batch.Job {
+		job := jobOf("j", "guild", 2, 1)
+		job.Items[0].Reward, job.Items[1].Reward = &first, &second
+		return job
+	}
+	call := sesamepitch.RewardCall{ID: "r1", Host: "h", Path: "/p"}
+	other := sesamepitch.RewardCall{ID: "r2", Host: "h", Path: "/p"}
 	cases := []struct {
 		name   string
 		job    batch.Job
@@ -385,6 +398,11 @@
 		{"duplicate item", duplicate, 1},
 		{"negative tokens", negative, 1},
 		{"path without slash", path, 1},
+		{"scored", scored(call, other), 0},
+		{"duplicate reward call", scored(call, call), 1},
+		{"reward call without id", scored(call, sesamepitch.RewardCall{Host: "h", Path: "/p"}), 1},
+		{"reward call without host", scored(call, sesamepitch.RewardCall{ID: "r2", Path: "/p"}), 1},
+		{"reward call without path", scored(call, sesamepitch.RewardCall{ID: "r2", Host: "h"}), 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { assert.Equal(t, len(c.job.Faults()), c.faults, "%v", c.job.Faults()) })
--- a/src/batch/checkpoint.go
+++ b/src/batch/checkpoint.go
@@ -33,6 +33,8 @@
 	Events []string `json:"events"`
 	// Versions are the weight versions that generated the events, one for each.
 	Versions []int64 `json:"versions"`
+	// Complete is set on the part with the output's last event.
+	Complete bool `json:"complete,omitempty"`
 }
 
 // Size returns the size of the events in bytes.
@@ -61,21 +63,23 @@
 }
 
 // Checkpoints returns the partial output of the latest attempt of each item, joined
-// from its checkpoints, by the item's index.
-func (l *Ledger) Checkpoints(ctx context.Context, id string) (map[int]Checkpoint, error) {
+// from its checkpoints, by the item's index. A row that cannot be decoded is left
+// out and its error is among the faults; the parts behind it are of no use, either.
+func (l *Ledger) Checkpoints(ctx context.Context, id string) (outputs map[int]Checkpoint, faults []error, err error) {
 	rows, err := l.store.List(ctx, checkpointTable+"/"+id+"/")
 	if err != nil {
-		return nil, &Error{Op: "batch.progress", Kind: sesamepitch.KindUnavailable, Err: err}
+		return nil, nil, &Error{Op: "batch.progress", Kind: sesamepitch.KindUnavailable, Err: err}
 	}
-	outputs := map[int]Checkpoint{}
+	outputs = map[int]Checkpoint{}
 	for _, row := range rows {
 		part, err := decodeCheckpoint(row)
 		if err != nil {
-			return nil, err
+			faults = append(faults, err)
+			continue
 		}
 		outputs[part.Item] = joinCheckpoints(outputs[part.Item], part)
 	}
-	return outputs, nil
+	return outputs, faults, nil
 }
 
 // joinCheckpoints appends a part to an output of the same attempt; the first part
@@ -90,6 +94,7 @@
 	}
 	output.Events = append(output.Events, part.Events...)
 	output.Versions = append(output.Versions, part.Versions...)
+	output.Complete = part.Complete
 	return output
 }
 
--- a/src/batch/job.go
+++ b/src/batch/job.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	sesamepitch "sesamepitch/src"
 )
 
 // Job is a batch job as submitted by a trainer.
@@ -48,6 +50,9 @@
 	// ExpectedTokens is the trainer's estimate of the output tokens, zero if it
 	// gave none.
 	ExpectedTokens int64
+	// Reward is the call that scores the complete output; nil if it needs no
+	// score.
+	Reward *sesamepitch.RewardCall
 }
 
 // State is the final state of an item.
@@ -68,6 +73,9 @@
 	State    State   `json:"state"`
 	Output   string  `json:"text"`
 	Versions []int64 `json:"versions"`
+	// Score is the signature of the answer to the item's reward call; empty if the
+	// item has none.
+	Score string `json:"score,omitempty"`
 	// TargetMet is set on the result that completes the last of the GroupTarget
 	// groups, and on all later ones.
 	TargetMet bool `json:"target_met,omitempty"`
@@ -101,7 +109,7 @@
 	if len(j.Items) == 0 {
 		fault("job has no items")
 	}
-	seen := map[string]bool{}
+	seen, seenRewards := map[string]bool{}, map[string]bool{}
 	for i, item := range j.Items {
 		if item.ID == "" || len(item.ID) > maxIDLength {
 			fault("item %d: id is empty or too long", i)
@@ -116,6 +124,31 @@
 		if item.Tokens < 0 {
 			fault("item %q: negative tokens", item.ID)
 		}
+		if item.Reward == nil {
+			continue
+		}
+		for _, problem := range rewardFaults(*item.Reward) {
+			fault("item %q: reward call: %s", item.ID, problem)
+		}
+		if seenRewards[item.Reward.ID] {
+			fault("item %q: reward call: duplicate id %q", item.ID, item.Reward.ID)
+		}
+		seenRewards[item.Reward.ID] = true
+	}
+	return faults
+}
+
+// rewardFaults describes each validation error of a reward call.
+func rewardFaults(call sesamepitch.RewardCall) []string {
+	var faults []string
+	if call.ID == "" || len(call.ID) > maxIDLength {
+		faults = append(faults, "id is empty or too long")
+	}
+	if call.Host == "" {
+		faults = append(faults, "host is empty")
+	}
+	if !strings.HasPrefix(call.Path, "/") {
+		faults = append(faults, fmt.Sprintf("path %q does not start with a slash", call.Path))
 	}
 	return faults
 }
--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -69,12 +69,15 @@
 	registry    *registry.Registry
 	engines     sesamepitch.Engines
 	control     sesamepitch.EngineControl
+	rewards     sesamepitch.RewardCaller
 	lease       *lease.Lease
 	instance    string
 	eligibility Eligibility
 	checks      *invariant.Recorder
 	retention   time.Duration
-	leaving     chan struct{}
+	// observeReward receives the outcome of each try of a reward call.
+	observeReward RewardObserver
+	leaving       chan struct{}
 	// left is closed once the driver has left; leaveTimeout bounds the wait for
 	// the store before that.
 	left         chan struct{}
@@ -104,12 +107,22 @@
 	return func(driver *Driver) { driver.retention = d }
 }
 
+// RewardObserver receives the kind of error of a reward call's try, empty for a
+// score, and the time that the try took.
+type RewardObserver func(kind sesamepitch.Kind, latency time.Duration)
+
+// WithRewardObserver sets the observer of reward calls.
+func WithRewardObserver(observe RewardObserver) Option {
+	return func(d *Driver) { d.observeReward = observe }
+}
+
 // New returns a driver for an instance.
-func New(clock sesamepitch.Clock, log logr.Logger, store sesamepitch.Store, ledger *batch.Ledger, reg *registry.Registry, engines sesamepitch.Engines, control sesamepitch.EngineControl, l *lease.Lease, instance string, eligibility Eligibility, options ...Option) *Driver {
+func New(clock sesamepitch.Clock, log logr.Logger, store sesamepitch.Store, ledger *batch.Ledger, reg *registry.Registry, engines sesamepitch.Engines, control sesamepitch.EngineControl, rewards sesamepitch.RewardCaller, l *lease.Lease, instance string, eligibility Eligibility, options ...Option) *Driver {
 	d := &Driver{
-		clock: clock, log: log, store: store, ledger: ledger, registry: reg, engines: engines, control: control,
+		clock: clock, log: log, store: store, ledger: ledger, registry: reg, engines: engines, control: control, rewards: rewards,
 		lease: l, instance: instance, eligibility: eligibility, retention: defaultRetention,
-		leaving: make(chan struct{}), left: make(chan struct{}),
+		observeReward: func(sesamepitch.Kind, time.Duration) {},
+		leaving:       make(chan struct{}), left: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(d)
@@ -290,7 +303,7 @@
 func (d *Driver) start(ctx context.Context, epoch int64) *activeSession {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
-		clock: d.clock, log: d.log, ledger: d.ledger, registry: d.registry, engines: d.engines,
+		clock: d.clock, log: d.log, ledger: d.ledger, registry: d.registry, engines: d.engines, rewards: d.rewards, observeReward: d.observeReward,
 		loader: newLoader(d.clock, d.log, d.control, d.lease.ForFencedCalls(), d.instance, epoch, d.checks),
 		checks: d.checks, holder: d.instance, epoch: epoch, wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, engineStates: map[string]*engine{}, assigned: map[string]string{}, lags: map[string]lag{},
--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -178,13 +178,14 @@
 	store    *standin.Memory
 	ledger   *batch.Ledger
 	engines  *fakeEngines
+	rewards  *fakeRewards
 	registry *registry.Registry
 }
 
 func newFixture(t *testing.T, engineCount int) *fixture {
 	t.Helper()
 	clock := sesamepitch.SystemClock{}
-	f := &fixture{t: t, store: standin.NewMemory(), engines: newFakeEngines(), registry: registry.New(clock, decoder{})}
+	f := &fixture{t: t, store: standin.NewMemory(), engines: newFakeEngines(), rewards: newFakeRewards("s0", "s1", "s2"), registry: registry.New(clock, decoder{})}
 	f.ledger = batch.NewLedger(clock, f.store)
 	f.registry.ApplyOperators([]sesamepitch.Row{{Key: "op//config", Version: 1}, {Key: "op//version", Version: 1}}, true)
 	var rows []sesamepitch.Row
@@ -205,7 +206,7 @@
 func (f *fixture) newDriver(instance, address string) *driver.Driver {
 	clock := sesamepitch.SystemClock{}
 	driverLease := driver.NewLease(clock, f.store, instance, address, 3*time.Second)
-	return driver.New(clock, logr.Discard(), f.store, f.ledger, f.registry, f.engines, f.engines, driverLease, instance, eligible{})
+	return driver.New(clock, logr.Discard(), f.store, f.ledger, f.registry, f.engines, f.engines, f.rewards, driverLease, instance, eligible{})
 }
 
 // disableFeed makes the store refuse its change feed.
--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -88,7 +88,8 @@
 	defer s.mu.Unlock()
 	var tasks []*task
 	for _, t := range j.open {
-		if !t.finished && len(t.output.events)-t.checkpointed >= minEvents {
+		events, end := t.uncheckpointedEvents()
+		if !t.finished && (events >= minEvents || end) {
 			tasks = append(tasks, t)
 		}
 	}
@@ -102,6 +103,7 @@
 			break
 		}
 		t.checkpointed = part.From + len(part.Events)
+		t.checkpointedComplete = part.Complete
 		checkpoints = append(checkpoints, part)
 	}
 	return checkpoints
@@ -170,6 +172,7 @@
 	resultOutput := output{eventVersions: result.Versions}
 	s.checks.Check(resultOutput.allowed(t.job.MinVersion, t.job.singleVersion), invariant.ResultVersions,
 		"job", t.job.ID, "item", t.item.ID, "versions", result.Versions, "min_version", t.job.MinVersion)
+	s.checks.Check(result.State != batch.Done || t.item.Reward == nil || result.Score != "", invariant.ResultScored, "job", t.job.ID, "item", t.item.ID)
 	if t.job.ended {
 		return
 	}
--- a/src/driver/loads.go
+++ b/src/driver/loads.go
@@ -90,7 +90,7 @@
 	waiting := map[string]int{}
 	for _, j := range s.jobs {
 		for _, t := range j.open {
-			if !t.finished && t.run == nil {
+			if t.needsRun() {
 				waiting[j.Model]++
 			}
 		}
--- a/src/driver/monitor.go
+++ b/src/driver/monitor.go
@@ -94,9 +94,10 @@
 	}
 }
 
-// cancelTask ends a task's run without another one.
+// cancelTask ends a task's run and its reward call without another one.
 func (s *session) cancelTask(t *task) {
 	t.release()
+	t.endScoring()
 	if t.run != nil {
 		s.stopRun(t.run, "item or job ended")
 	}
--- a/src/driver/outputcache.go
+++ b/src/driver/outputcache.go
@@ -1,6 +1,11 @@
 package driver
 
-import "time"
+import (
+	"bytes"
+	"time"
+
+	sesamepitch "sesamepitch/src"
+)
 
 // cacheTTL is how long outputs are kept for a later job with the same items.
 const cacheTTL = 60 * time.Second
@@ -16,15 +21,29 @@
 type cachedOutput struct {
 	output   output
 	complete bool
+	// score is the score of the complete output, empty if unknown; call is the
+	// reward call that it answers.
+	score    string
+	call     *sesamepitch.RewardCall
 	storedAt time.Time
 }
 
+// isScoreOf reports whether the cached score answers an item's reward call.
+func (c cachedOutput) isScoreOf(call *sesamepitch.RewardCall) bool {
+	if c.score == "" || c.call == nil || call == nil {
+		return false
+	}
+	return c.call.ID == call.ID && c.call.Host == call.Host && c.call.Path == call.Path && bytes.Equal(c.call.Body, call.Body)
+}
+
 func newOutputCache() *outputCache { return &outputCache{outputs: map[itemKey]cachedOutput{}} }
 
 // put stores a task's output unless it is empty.
 func (c *outputCache) put(t *task, now time.Time) {
 	if len(t.output.events) > 0 {
-		c.outputs[keyOf(t)] = cachedOutput{output: t.output, complete: t.complete, storedAt: now}
+		c.outputs[keyOf(t)] = cachedOutput{
+			output: t.output, complete: t.complete, score: t.score, call: t.item.Reward, storedAt: now,
+		}
 	}
 }
 
@@ -50,14 +69,15 @@
 	return found
 }
 
-// get returns a copy of the item's cached output and whether it is complete;
-// the output is empty if the task's job does not allow its weight versions.
-func (c *outputCache) get(t *task) (output, bool) {
+// get returns a copy of what is cached of the item, unless the task's job does
+// not allow its weight versions.
+func (c *outputCache) get(t *task) (cachedOutput, bool) {
 	cached, found := c.outputs[keyOf(t)]
 	if !found || !cached.output.allowed(t.job.MinVersion, t.job.singleVersion) {
-		return output{}, false
+		return cachedOutput{}, false
 	}
-	return cached.output.clone(), cached.complete
+	cached.output = cached.output.clone()
+	return cached, true
 }
 
 func (c *outputCache) evict(now time.Time) {
--- a/src/driver/run.go
+++ b/src/driver/run.go
@@ -182,7 +182,7 @@
 		s.log.Info("item done", "job", t.job.ID, "item", t.item.ID, "engine", r.engine.entry.ID, "events", len(t.output.events),
 			"ms", now.Sub(r.started).Milliseconds())
 		t.complete = true
-		s.finish(t, t.result())
+		s.finishComplete(t, now)
 		return
 	}
 	s.handleFailure(r, err, now)
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -10,6 +10,7 @@
 	"sesamepitch/src/batch"
 	"sesamepitch/src/invariant"
 	"sesamepitch/src/registry"
+	"sesamepitch/src/reward"
 	"sesamepitch/src/supervisor"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +44,7 @@
 	ledger   *batch.Ledger
 	registry *registry.Registry
 	engines  sesamepitch.Engines
+	rewards  sesamepitch.RewardCaller
 	loader   *loader
 	checks   *invariant.Recorder
 	holder   string
@@ -62,6 +64,9 @@
 	// model.
 	lags  map[string]lag
 	cache *outputCache
+	// rewardLatency is how long answers to reward calls take.
+	rewardLatency reward.Latency
+	observeReward RewardObserver
 	// leaving is set once outputs are checkpointed for the next driver.
 	leaving bool
 	// takenOver are the jobs that were taken over or have ended; ended are
@@ -114,6 +119,7 @@
 		s.orderLoads(ctx, now)
 		s.cache.evict(now)
 	}
+	s.sendRewardCalls(ctx, now)
 	s.place(ctx, now)
 }
 
@@ -230,7 +236,7 @@
 	var waiting []*task
 	for _, j := range s.jobs {
 		for _, t := range j.open {
-			if !t.finished && t.run == nil && !now.Before(t.notBefore) {
+			if t.needsRun() && !now.Before(t.notBefore) {
 				waiting = append(waiting, t)
 			}
 		}
--- a/src/driver/takeover.go
+++ b/src/driver/takeover.go
@@ -100,7 +100,10 @@
 	if err != nil {
 		return nil, earlierState{}, err
 	}
-	checkpoints, err := s.ledger.Checkpoints(ctx, header.ID)
+	checkpoints, faults, err := s.ledger.Checkpoints(ctx, header.ID)
+	for _, fault := range faults {
+		s.log.Info("checkpoint ignored", "job", header.ID, "cause", fault.Error())
+	}
 	return j, earlierState{results: results, checkpoints: checkpoints}, err
 }
 
@@ -140,7 +143,7 @@
 			resumed++
 		}
 		if t.complete {
-			s.finish(t, t.result())
+			s.finishComplete(t, now)
 		}
 	}
 	s.jobs[j.ID] = j
@@ -157,10 +160,17 @@
 // driver's checkpoint, whichever is longer, and reports whether it is complete.
 func (s *session) restoreOutput(t *task, checkpoint batch.Checkpoint) bool {
 	checkpointed := outputOfCheckpoint(checkpoint)
-	cached, complete := s.cache.get(t)
-	t.output = cached
-	if !complete && len(checkpointed.events) > len(cached.events) && checkpointed.allowed(t.job.MinVersion, t.job.singleVersion) {
-		t.output = checkpointed
+	cached, found := s.cache.get(t)
+	t.output = cached.output
+	if found && cached.isScoreOf(t.item.Reward) {
+		t.score = cached.score
+	}
+	if cached.complete || !checkpointed.allowed(t.job.MinVersion, t.job.singleVersion) {
+		return cached.complete
+	}
+	complete := checkpoint.Complete && len(checkpointed.events) > 0
+	if complete || len(checkpointed.events) > len(cached.output.events) {
+		t.output, t.score = checkpointed, ""
 	}
 	return complete
 }
--- a/src/driver/task.go
+++ b/src/driver/task.go
@@ -52,8 +52,23 @@
 	lastMoved    time.Time
 	waitingSince time.Time
 	finished     bool
-	// complete is set once the output has its last event.
-	complete bool
+	// complete is set once the output has its last event, checkpointedComplete once
+	// the table says so.
+	complete             bool
+	checkpointedComplete bool
+	// scoring is the reward call of the complete output; nil if none is needed or
+	// the score is known.
+	scoring *scoring
+	score   string
+}
+
+// needsRun reports whether the task waits for an engine.
+func (t *task) needsRun() bool { return !t.finished && !t.complete && t.run == nil }
+
+// uncheckpointedEvents returns how many events the table lacks, and whether it
+// lacks the end of a complete output.
+func (t *task) uncheckpointedEvents() (events int, end bool) {
+	return len(t.output.events) - t.checkpointed, t.complete && !t.checkpointedComplete
 }
 
 // reserve reserves a slot at an engine for the task's next run.
@@ -78,7 +93,8 @@
 func (t *task) restart() {
 	t.output = output{}
 	t.attempt++
-	t.checkpointed = 0
+	t.checkpointed, t.checkpointedComplete = 0, false
+	t.complete, t.score = false, ""
 }
 
 // nextCheckpoint returns the next part of the output that the table does not
@@ -94,12 +110,13 @@
 		part.Events = append(part.Events, t.output.events[i])
 		part.Versions = append(part.Versions, t.output.eventVersions[i])
 	}
+	part.Complete = t.complete && part.From+len(part.Events) == len(t.output.events)
 	return part
 }
 
 // result returns the task's result once its output is complete.
 func (t *task) result() batch.Result {
-	return batch.Result{ID: t.item.ID, State: batch.Done, Output: strings.Join(t.output.events, "\n"), Versions: t.output.versions()}
+	return batch.Result{ID: t.item.ID, State: batch.Done, Output: strings.Join(t.output.events, "\n"), Versions: t.output.versions(), Score: t.score}
 }
 
 func (t *task) abandonedResult() batch.Result {
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -86,16 +86,34 @@
 	return best, true
 }
 
-// choose returns an endpoint of a service that is not in tried, and whether there
-// is one. Endpoints of equal cost are chosen at random.
-func (g *Gateway) choose(service string, route registry.Route, tried map[string]bool) (registry.Endpoint, bool) {
-	if len(route.Regions) > 0 && !slices.Contains(route.Regions, g.region) {
+// choice restricts the endpoints that a request may be sent to.
+type choice struct {
+	service string
+	route   registry.Route
+	// tried are the endpoints that are not chosen again; avoided ones are chosen
+	// only if there is no other.
+	tried, avoided map[string]bool
+	// slotShare is the share of an endpoint's slots that this instance's requests
+	// may occupy; zero for no limit.
+	slotShare float64
+}
+
+// hasRoom reports whether an endpoint with this many running requests may get
+// another one.
+func (c choice) hasRoom(endpoint registry.Endpoint, running int) bool {
+	return c.slotShare == 0 || running < max(1, int(c.slotShare*float64(endpoint.Slots)))
+}
+
+// choose returns an endpoint for a request, and whether there is one. Endpoints of
+// equal cost are chosen at random.
+func (g *Gateway) choose(c choice) (registry.Endpoint, bool) {
+	if !g.mayServe(c.route) {
 		return registry.Endpoint{}, false
 	}
-	endpoints := g.registry.Endpoints(service)
+	endpoints := g.registry.Endpoints(c.service)
 	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
 	now := g.clock.Now()
-	coldRate := g.coldRate(service)
+	coldRate := g.coldRate(c.service)
 	coldInterval := time.Duration(0)
 	if coldRate > 0 {
 		coldInterval = time.Duration(float64(time.Second) * float64(g.instances()) / coldRate)
@@ -104,17 +122,17 @@
 	defer g.mu.Unlock()
 	var candidates []candidate
 	for _, endpoint := range endpoints {
-		if tried[endpoint.ID] {
+		state := g.stateOf(endpoint.ID)
+		if c.tried[endpoint.ID] || !c.hasRoom(endpoint, state.running) {
 			continue
 		}
-		state := g.stateOf(endpoint.ID)
 		cold := now.Before(endpoint.ColdUntil) && coldRate > 0
 		if cold && !state.coldRequestAllowed(now, endpoint.ColdUntil, coldInterval) {
 			continue
 		}
 		candidates = append(candidates, candidate{
 			endpoint: endpoint, running: state.running, connected: now.Sub(state.connUsedAt) < g.forward.IdleTimeout(destination(endpoint)),
-			avoided: now.Before(state.avoidUntil), cold: cold, sameCentre: endpoint.Centre == g.centre,
+			avoided: now.Before(state.avoidUntil) || c.avoided[endpoint.ID], cold: cold, sameCentre: endpoint.Centre == g.centre,
 		})
 	}
 	best, found := cheapest(candidates)
@@ -124,6 +142,11 @@
 	return best.endpoint, found
 }
 
+// mayServe reports whether a route's requests may be served in this region.
+func (g *Gateway) mayServe(route registry.Route) bool {
+	return len(route.Regions) == 0 || slices.Contains(route.Regions, g.region)
+}
+
 // coldRequestAllowed reports whether this instance may send a request to a cold
 // endpoint now. The instance's share of the endpoint's cold rate is one request
 // per interval. The first is sent at a random time within an interval, so that
--- a/src/gateway/dispatch.go
+++ b/src/gateway/dispatch.go
@@ -35,7 +35,7 @@
 	var failed sesamepitch.Answer
 	var cause error
 	for d.mayTry() {
-		endpoint, found := d.gateway.choose(d.service, d.admission.Route, d.tried)
+		endpoint, found := d.gateway.choose(choice{service: d.service, route: d.admission.Route, tried: d.tried})
 		if !found {
 			break
 		}
@@ -84,13 +84,18 @@
 }
 
 func (d *dispatch) try(ctx context.Context, endpoint registry.Endpoint) (sesamepitch.Answer, error) {
-	d.tried[endpoint.ID] = true
-	d.lastEndpoint = endpoint
 	ctx, cancel := context.WithTimeout(ctx, d.tryTime())
 	defer cancel()
+	return d.send(ctx, endpoint, d.gateway.trackRequest(endpoint))
+}
+
+// send sends the request to an endpoint and records the outcome; done ends the
+// tracking of the request at that endpoint.
+func (d *dispatch) send(ctx context.Context, endpoint registry.Endpoint, done func(error)) (sesamepitch.Answer, error) {
+	d.tried[endpoint.ID] = true
+	d.lastEndpoint = endpoint
 	request := d.request
 	request.Workspace = d.admission.Workspace
-	done := d.gateway.trackRequest(endpoint)
 	began := d.gateway.clock.Now()
 	answer, err := d.gateway.forward.Forward(ctx, destination(endpoint), request)
 	done(err)
@@ -172,7 +177,7 @@
 	request := d.request
 	request.Workspace = d.admission.Workspace
 	for d.mayTry() && !d.mayHaveRun {
-		endpoint, found := d.gateway.choose(d.service, d.admission.Route, d.tried)
+		endpoint, found := d.gateway.choose(choice{service: d.service, route: d.admission.Route, tried: d.tried})
 		if !found {
 			break
 		}
--- a/src/gateway/jobs.go
+++ b/src/gateway/jobs.go
@@ -44,6 +44,11 @@
 	return err
 }
 
+// LogMalformed logs a job that could not be decoded and is refused as a whole.
+func (g *Gateway) LogMalformed(id string, err error) {
+	g.log.Info("job malformed", "job", id, "cause", err.Error())
+}
+
 func outcome(err error) string {
 	if err == nil {
 		return "ok"
--- /dev/null
+++ b/src/gateway/reward.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/registry"
+	"sesamepitch/src/reward"
+)
+
+// rewardSlotShare is the share of an endpoint's slots that reward calls may
+// occupy; the others stay free for callers' requests, which wait for no step.
+const rewardSlotShare = 2.0 / 3
+
+// Route returns the route of a reward call by the configuration in force.
+func (g *Gateway) Route(call sesamepitch.RewardCall) (sesamepitch.RewardRoute, bool) {
+	route, found := g.rewardRoute(call)
+	if !found {
+		return sesamepitch.RewardRoute{}, false
+	}
+	endpoints := 0
+	for _, share := range route.Split {
+		endpoints += len(g.registry.Endpoints(share.Service))
+	}
+	return sesamepitch.RewardRoute{MaxAttempts: route.MaxAttempts, LatencyTarget: route.LatencyTarget, Endpoints: endpoints}, true
+}
+
+func (g *Gateway) rewardRoute(call sesamepitch.RewardCall) (registry.Route, bool) {
+	config := g.registry.Config()
+	if config == nil {
+		return registry.Route{}, false
+	}
+	return config.Match(call.Host, call.Path)
+}
+
+// Reserve chooses an endpoint for a reward call. The call bears no key and belongs
+// to no workspace, so it is in no usage report.
+func (g *Gateway) Reserve(call sesamepitch.RewardCall, excluded, avoided []string) (sesamepitch.RewardTry, error) {
+	route, found := g.rewardRoute(call)
+	if !found {
+		return nil, &Error{Op: "reward", Kind: sesamepitch.KindNotFound, Err: errNoRoute}
+	}
+	d := g.newDispatch(Admission{Route: route}, sesamepitch.Request{
+		ID: call.ID, Method: http.MethodPost, Host: call.Host, URI: call.Path, Header: http.Header{}, Body: call.Body,
+	})
+	if d.isQuarantined() {
+		return nil, &Error{Op: "reward", Kind: sesamepitch.KindUnavailable, Err: errQuarantined}
+	}
+	endpoint, found := g.choose(choice{
+		service: d.service, route: route, tried: setOf(excluded), avoided: setOf(avoided), slotShare: rewardSlotShare,
+	})
+	if !found {
+		return nil, &Error{Op: "reward", Kind: sesamepitch.KindUnavailable, Err: errNoEndpoint}
+	}
+	return &rewardTry{dispatch: d, endpoint: endpoint, done: g.trackRequest(endpoint)}, nil
+}
+
+func setOf(ids []string) map[string]bool {
+	set := map[string]bool{}
+	for _, id := range ids {
+		set[id] = true
+	}
+	return set
+}
+
+// rewardTry is a reward call with the endpoint chosen for it.
+type rewardTry struct {
+	dispatch *dispatch
+	endpoint registry.Endpoint
+	done     func(error)
+}
+
+// Endpoint returns the endpoint's ID.
+func (t *rewardTry) Endpoint() string { return t.endpoint.ID }
+
+// Send sends the call and returns the signature of its answer.
+func (t *rewardTry) Send(ctx context.Context) (string, error) {
+	timeout := reward.Timeout(t.dispatch.admission.Route.LatencyTarget)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	t.dispatch.request.Deadline = t.dispatch.gateway.clock.Now().Add(timeout)
+	answer, err := t.dispatch.send(ctx, t.endpoint, t.done)
+	if err != nil {
+		return "", err
+	}
+	return scoreOf(answer)
+}
+
+var errNoSignature = errors.New("success without a signature")
+
+// scoreOf returns the score that an answer stands for.
+func scoreOf(answer sesamepitch.Answer) (string, error) {
+	switch {
+	case answer.Status == http.StatusInternalServerError:
+		return "", &Error{Op: "reward", Kind: sesamepitch.KindFailed, Err: fmt.Errorf("status %d", answer.Status)}
+	case answer.Status < http.StatusOK || answer.Status >= http.StatusMultipleChoices:
+		return "", &Error{Op: "reward", Kind: sesamepitch.KindUnknown, Err: fmt.Errorf("status %d", answer.Status)}
+	case answer.Signature == "":
+		return "", &Error{Op: "reward", Kind: sesamepitch.KindUnknown, Err: errNoSignature}
+	}
+	return answer.Signature, nil
+}
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -144,18 +144,18 @@
 // build creates the parts that serve callers and drive jobs.
 func (i *Instance) build() {
 	s := i.settings
+	i.metrics = newMetrics(i)
 	ledger := batch.NewLedger(i.clock, i.store, batch.WithRowBytes(s.RowBytes))
 	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers, s.Bounds.Lease)
 	guard := lease.NewTransport(i.lease, s.Source)
-	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.lease, s.Instance, i.members, driver.WithChecks(i.checks), driver.WithRetention(s.Bounds.Status))
-	i.hinter = driver.NewHinter(i.clock, i.log, i.driver, i.peers)
 	writer := s.Instance + "@" + i.clock.Now().Format("150405.000")
 	i.meter = billing.NewMeter(i.clock, i.log, i.store, s.Bounds.ReportWindow, writer)
 	calls := i.adapter.FencedCalls(guard)
 	i.scaler = scaling.New(i.clock, i.log, i.store, i.registry, calls, i.lease.ForFencedCalls(), s.Instance)
 	i.reporter = billing.NewReporter(i.clock, i.log, i.store, calls, i.lease.ForFencedCalls(), s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate, billing.WithChecks(i.checks))
-	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(i.hinter.Notify), gateway.WithConnectivity(i.isolation), gateway.WithQuarantine(i.suspects))
-	i.metrics = newMetrics(i)
+	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(func(header batch.Header) { i.hinter.Notify(header) }), gateway.WithConnectivity(i.isolation), gateway.WithQuarantine(i.suspects))
+	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.gateway, i.lease, s.Instance, i.members, driver.WithChecks(i.checks), driver.WithRetention(s.Bounds.Status), driver.WithRewardObserver(i.metrics.observeReward))
+	i.hinter = driver.NewHinter(i.clock, i.log, i.driver, i.peers)
 }
 
 // workers returns the goroutines that run as long as the instance.
--- a/src/instance/metrics.go
+++ b/src/instance/metrics.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/invariant"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -17,6 +18,7 @@
 	registry  *prometheus.Registry
 	responses *prometheus.CounterVec
 	seconds   *prometheus.HistogramVec
+	rewards   *prometheus.HistogramVec
 }
 
 func newMetrics(i *Instance) *metrics {
@@ -29,8 +31,12 @@
 			Name: "sesamepitch_answer_seconds", Help: "Time of callers' requests by method.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 3, 9),
 		}, []string{"method"}),
+		rewards: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sesamepitch_reward_call_seconds", Help: "Time of reward calls by outcome: scored, or the kind of error.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 11),
+		}, []string{"outcome"}),
 	}
-	m.registry.MustRegister(m.responses, m.seconds, collectors.NewGoCollector())
+	m.registry.MustRegister(m.responses, m.seconds, m.rewards, collectors.NewGoCollector())
 	m.gauge("sesamepitch_config_version", "Version of the configuration in force.", func() float64 { return float64(i.configVersion()) })
 	m.gauge("sesamepitch_driver", "Whether this instance drives the jobs.", func() float64 {
 		if _, _, held := i.lease.Held(); held {
@@ -54,6 +60,15 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 }
 
+// observeReward counts and times one try of a reward call.
+func (m *metrics) observeReward(kind sesamepitch.Kind, latency time.Duration) {
+	outcome := "scored"
+	if kind != "" {
+		outcome = string(kind)
+	}
+	m.rewards.WithLabelValues(outcome).Observe(latency.Seconds())
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/src/invariant/invariant.go
+++ b/src/invariant/invariant.go
@@ -22,6 +22,9 @@
 	ResultVersions = "result_versions"
 	// ResultOnce requires that an item gets one result from a driver.
 	ResultOnce = "result_once"
+	// ResultScored requires that a complete result has the score that its item asks
+	// for.
+	ResultScored = "result_scored"
 	// ColdRate requires that a cold engine is sent no more items per second than its
 	// service's cold rate allows.
 	ColdRate = "cold_rate"
@@ -34,7 +37,7 @@
 
 // Names lists all invariants.
 var Names = []string{
-	ConfigNeverOlder, OrderUnderLease, ResultVersions, ResultOnce, ColdRate, RefusalTrue, UsageFrozen,
+	ConfigNeverOlder, OrderUnderLease, ResultVersions, ResultOnce, ResultScored, ColdRate, RefusalTrue, UsageFrozen,
 }
 
 // Recorder counts violations and logs each one. Check on a nil Recorder does
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -35,6 +35,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Signature identifies this answer of this endpoint; each success has one.
+	Signature string
 }
 
 // Forwarder sends requests to endpoints. Errors are of the kinds
@@ -80,6 +82,46 @@
 	After int64
 }
 
+// RewardCall is the request that scores a sample's complete output.
+type RewardCall struct {
+	ID string
+	// Host and Path select the route.
+	Host string
+	Path string
+	Body []byte
+}
+
+// RewardRoute is what the configuration says of a reward call.
+type RewardRoute struct {
+	// MaxAttempts is the number of failures after which the call may be given up.
+	MaxAttempts int
+	// LatencyTarget is the time in which answers are expected; zero if not set.
+	LatencyTarget time.Duration
+	// Endpoints is the number of endpoints that may get the call.
+	Endpoints int
+}
+
+// RewardTry is a reward call with the endpoint chosen for it. It counts as
+// running there until Send returns.
+type RewardTry interface {
+	// Endpoint returns the endpoint's ID.
+	Endpoint() string
+	// Send sends the call and returns its score. Errors are of the kinds
+	// KindFailed (the endpoint ran the call and failed), KindOverloaded (not run),
+	// KindUnavailable (not sent) and any other (it may have run).
+	Send(ctx context.Context) (score string, err error)
+}
+
+// RewardCaller chooses endpoints for reward calls by the configuration in force.
+type RewardCaller interface {
+	// Route returns the route of a call, and whether there is one.
+	Route(call RewardCall) (RewardRoute, bool)
+	// Reserve chooses an endpoint for a call. The endpoints in excluded are not
+	// chosen, those in avoided only if there is no other. Errors are of the kinds
+	// KindNotFound (no route) and KindUnavailable (no endpoint may get it now).
+	Reserve(call RewardCall, excluded, avoided []string) (RewardTry, error)
+}
+
 // Event is one event of an engine's stream.
 type Event struct {
 	ID   int64
