A broken endpoint neither draws reward calls nor makes their contents suspect

Traced (job b100a5, 138 of 144 results at 5.5 s): in a burst of finished texts the sound servers had no room, a flapping one failed each call at once and so always had; it got the same call three times, which made three crashes of one content: quarantined for two minutes. Ruled out: slow servers, the order of calls. Change: a reward call waits for room at a sound endpoint rather than go to one that just failed; the quarantine counts crashed endpoints (process and its start), each once, also across instances.

--- a/src/dial.go
+++ b/src/dial.go
@@ -1,6 +1,7 @@
 package sesamepitch
 
 import (
+	"context"
 	"net"
 	"time"
 )
@@ -14,3 +15,26 @@
 	}
 	return dialer
 }
+
+// DialContext connects to an address.
+type DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+
+// WithReset returns a dial function whose TCP connections are closed with a reset.
+// A reset discards what the receiver has not acknowledged. Otherwise the system
+// sends it again even after the close, so that a request that was given up can
+// arrive seconds later, when the network recovers.
+func WithReset(dial DialContext) DialContext {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			if err := tcp.SetLinger(0); err != nil {
+				_ = conn.Close()
+				return nil, err
+			}
+		}
+		return conn, nil
+	}
+}
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -94,7 +94,8 @@
 	// only if there is no other.
 	tried, avoided map[string]bool
 	// slotShare is the share of an endpoint's slots that this instance's requests
-	// may occupy; zero for no limit.
+	// may occupy; zero for no limit. A request with a limit waits for room rather
+	// than go to an avoided endpoint: one that fails at once always has room.
 	slotShare float64
 }
 
@@ -121,9 +122,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var candidates []candidate
+	goodWithoutRoom := false
 	for _, endpoint := range endpoints {
+		if c.tried[endpoint.ID] {
+			continue
+		}
 		state := g.stateOf(endpoint.ID)
-		if c.tried[endpoint.ID] || !c.hasRoom(endpoint, state.running) {
+		avoided := now.Before(state.avoidUntil) || c.avoided[endpoint.ID]
+		if !c.hasRoom(endpoint, state.running) {
+			goodWithoutRoom = goodWithoutRoom || !avoided
 			continue
 		}
 		cold := now.Before(endpoint.ColdUntil) && coldRate > 0
@@ -132,10 +139,13 @@
 		}
 		candidates = append(candidates, candidate{
 			endpoint: endpoint, running: state.running, connected: now.Sub(state.connUsedAt) < g.forward.IdleTimeout(destination(endpoint)),
-			avoided: now.Before(state.avoidUntil) || c.avoided[endpoint.ID], cold: cold, sameCentre: endpoint.Centre == g.centre,
+			avoided: avoided, cold: cold, sameCentre: endpoint.Centre == g.centre,
 		})
 	}
 	best, found := cheapest(candidates)
+	if found && best.avoided && goodWithoutRoom {
+		return registry.Endpoint{}, false
+	}
 	if found && best.cold {
 		g.stateOf(best.endpoint.ID).nextColdAt = now.Add(coldInterval)
 	}
--- a/src/gateway/dispatch.go
+++ b/src/gateway/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -78,7 +79,7 @@
 	case kind == "" && d.crashes > 0:
 		d.gateway.quarantine.RecordAnswer(d.content)
 	case (kind == sesamepitch.KindCrashed || kind == sesamepitch.KindUnknown) && ctx.Err() == nil:
-		d.crashes = d.gateway.quarantine.RecordCrash(d.content)
+		d.crashes = d.gateway.quarantine.RecordCrash(d.content, process(d.lastEndpoint))
 		d.gateway.log.Info("content suspected", "request", d.request.ID, "content", d.content, "endpoint", d.lastEndpoint.ID, "crashes", d.crashes)
 	}
 }
@@ -154,6 +155,9 @@
 	}
 }
 
+// process names an endpoint's process: an endpoint may restart under its ID.
+func process(e registry.Endpoint) string { return fmt.Sprint(e.ID, "@", e.Born) }
+
 func destination(e registry.Endpoint) sesamepitch.Destination {
 	return sesamepitch.Destination{ID: e.ID, Address: e.Address}
 }
--- a/src/lease/guard.go
+++ b/src/lease/guard.go
@@ -42,21 +42,15 @@
 // connection is closed with a reset, which discards unsent data, so that a failed
 // call is not delivered later.
 func NewTransport(l *Lease, source string) *http.Transport {
-	dialer := sesamepitch.NewDialer(source, dialTimeout)
+	dial := sesamepitch.WithReset(sesamepitch.NewDialer(source, dialTimeout).DialContext)
 	return &http.Transport{
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     idleTimeout,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			if tcp, ok := conn.(*net.TCPConn); ok {
-				if err := tcp.SetLinger(0); err != nil {
-					_ = conn.Close()
-					return nil, err
-				}
-			}
 			return guardedConn{Conn: conn, lease: l}, nil
 		},
 	}
--- a/src/quarantine/quarantine.go
+++ b/src/quarantine/quarantine.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// quarantineAfter is the number of crashes after which a content is quarantined.
+	// quarantineAfter is the number of crashed endpoints after which a content is
+	// quarantined.
 	quarantineAfter = 3
 	// crashTTL is how long a content's crashes count after suspectedContent.lastCrash.
 	crashTTL = 2 * time.Minute
@@ -20,18 +21,21 @@
 	maxReports = 32
 )
 
-// Report is the number of crashes that one instance has seen of one content.
+// Report lists the endpoints that one instance has seen crash with one content.
 type Report struct {
 	// Content is the content's fingerprint.
 	Content string `json:"content"`
-	Crashes int    `json:"crashes"`
+	// Endpoints names the crashed processes, each one once.
+	Endpoints []string `json:"endpoints"`
 }
 
-// suspectedContent counts the crashes of a content at one instance.
+// suspectedContent has the crashes of a content at one instance.
 type suspectedContent struct {
-	crashes int
+	// endpoints are the crashed processes. An endpoint that fails all its requests
+	// counts once, so that it can't make a content suspicious alone.
+	endpoints []string
 	// lastCrash is the time of the last crash; for another instance, it is the time
-	// of the first report with this number of crashes.
+	// of the first report with these crashes.
 	lastCrash time.Time
 }
 
@@ -64,12 +68,17 @@
 func (l *List) Changed() <-chan struct{} { return l.changed }
 
 // RecordCrash records that an endpoint crashed while it ran a content, and returns
-// the content's number of crashes at all instances.
-func (l *List) RecordCrash(content string) int {
+// the number of endpoints that the content has crashed at all instances. endpoint
+// names the process, so that a restarted endpoint counts anew.
+func (l *List) RecordCrash(content, endpoint string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire()
-	l.local[content] = suspectedContent{crashes: l.local[content].crashes + 1, lastCrash: l.clock.Now()}
+	crashed := slices.Clone(l.local[content].endpoints)
+	if !slices.Contains(crashed, endpoint) && len(crashed) < quarantineAfter {
+		crashed = append(crashed, endpoint)
+	}
+	l.local[content] = suspectedContent{endpoints: crashed, lastCrash: l.clock.Now()}
 	select {
 	case l.changed <- struct{}{}:
 	default:
@@ -85,8 +94,8 @@
 	delete(l.local, content)
 }
 
-// IsQuarantined reports whether a content must not be sent to endpoints, and its
-// number of crashes at all instances.
+// IsQuarantined reports whether a content must not be sent to endpoints, and how
+// many it has crashed at all instances.
 func (l *List) IsQuarantined(content string) (quarantined bool, crashes int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -107,22 +116,22 @@
 	slices.SortFunc(contents, func(a, b string) int { return l.local[b].lastCrash.Compare(l.local[a].lastCrash) })
 	var reports []Report
 	for _, content := range contents[:min(len(contents), maxReports)] {
-		reports = append(reports, Report{Content: content, Crashes: l.local[content].crashes})
+		reports = append(reports, Report{Content: content, Endpoints: l.local[content].endpoints})
 	}
 	return reports
 }
 
 // SetReports replaces the reports of another instance. A content's crashes count
-// from the report in which their number last changed; a report with the same number
-// does not renew them.
+// from the report in which they last changed; a report of the same crashes does not
+// renew them.
 func (l *List) SetReports(instance string, reports []Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	previous := l.remote[instance]
 	next := map[string]suspectedContent{}
 	for _, report := range reports {
-		next[report.Content] = suspectedContent{crashes: report.Crashes, lastCrash: l.clock.Now()}
-		if before := previous[report.Content]; before.crashes == report.Crashes {
+		next[report.Content] = suspectedContent{endpoints: report.Endpoints, lastCrash: l.clock.Now()}
+		if before, known := previous[report.Content]; known && slices.Equal(before.endpoints, report.Endpoints) {
 			next[report.Content] = before
 		}
 	}
@@ -132,19 +141,24 @@
 	}
 }
 
-// count returns a content's crashes that still count. The caller holds l.mu.
+// count returns the number of endpoints with crashes that still count. The caller
+// holds l.mu.
 func (l *List) count(content string) int {
-	now, crashes := l.clock.Now(), 0
+	now := l.clock.Now()
+	crashed := map[string]bool{}
 	add := func(c suspectedContent) {
-		if now.Sub(c.lastCrash) < crashTTL {
-			crashes += c.crashes
+		if now.Sub(c.lastCrash) >= crashTTL {
+			return
+		}
+		for _, endpoint := range c.endpoints {
+			crashed[endpoint] = true
 		}
 	}
 	add(l.local[content])
 	for _, contents := range l.remote {
 		add(contents[content])
 	}
-	return crashes
+	return len(crashed)
 }
 
 // expire drops local contents whose crashes no longer count. The caller holds l.mu.
