Relay: calls keep to a peer that reaches the store

The relay counted through the peers by index, but their list comes from a map in another order each time, so a peer that failed was not skipped. Change: peers are ranked by what was seen of them (worked last, never tried, failed longest ago); a peer whose own access fails says so at once instead of waiting for its store; three peers are tried, not two.

--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -131,7 +131,7 @@
 	i.registry = registry.New(clock, adapter.Decoder)
 	i.store = relay.New(clock, i.log, adapter.Store, i.peers, func() []string { return i.members.Peers() })
 	i.members = registry.NewMembers(clock, i.log, i.store, settings.Instance, settings.Centre, settings.Peers, settings.Cores, settings.Seeds, i.suspects)
-	if err := relay.Register(i.rpc, adapter.Store); err != nil {
+	if err := relay.Register(i.rpc, i.store); err != nil {
 		return nil, err
 	}
 	i.build()
--- a/src/relay/relay.go
+++ b/src/relay/relay.go
@@ -20,7 +20,7 @@
 	// wait time in addition.
 	peerTimeout = 800 * time.Millisecond
 	// maxPeersTried is the maximum number of peers that one call is sent to.
-	maxPeersTried = 2
+	maxPeersTried = 3
 )
 
 // Store is a sesamepitch.Store that calls the direct store while that works, and
@@ -36,14 +36,12 @@
 	lastContact   time.Time
 	lastAttempt   time.Time // of a direct call, while directFailing
 	directFailing bool
-	// nextPeer, modulo the number of peers, is the index of the peer that calls
-	// are sent to.
-	nextPeer int
+	ranking       *ranking
 }
 
 // New returns a store; peers returns the addresses of other instances.
 func New(clock sesamepitch.Clock, log logr.Logger, direct sesamepitch.Store, caller sesamepitch.PeerCaller, peers func() []string) *Store {
-	return &Store{clock: clock, log: log, direct: direct, caller: caller, peers: peers}
+	return &Store{clock: clock, log: log, direct: direct, caller: caller, peers: peers, ranking: newRanking()}
 }
 
 // Get reads one row.
@@ -85,20 +83,25 @@
 // do calls the direct store if it works. A call that definitely had no effect there
 // is repeated through peers.
 func (s *Store) do(ctx context.Context, call Call) (Reply, error) {
-	var err error
-	if s.directAllowed() {
-		var reply Reply
-		reply, err = perform(ctx, s.direct, call)
-		if !s.recordDirect(ctx, err) {
-			return reply, err
-		}
-		if sesamepitch.KindOf(err) == sesamepitch.KindUnknown {
-			return reply, err
-		}
+	reply, err := s.doDirect(ctx, call)
+	if !isUnreached(err) || sesamepitch.KindOf(err) == sesamepitch.KindUnknown {
+		return reply, err
 	}
 	return s.viaPeers(ctx, call, err)
 }
 
+var errDirectFails = errors.New("direct access to the store fails at present")
+
+// doDirect calls the direct store. While that fails, most calls are refused at once.
+func (s *Store) doDirect(ctx context.Context, call Call) (Reply, error) {
+	if !s.directAllowed() {
+		return Reply{}, &Error{Op: "relay." + call.Op, Kind: sesamepitch.KindUnavailable, Err: errDirectFails}
+	}
+	reply, err := perform(ctx, s.direct, call)
+	s.recordDirect(ctx, err)
+	return reply, err
+}
+
 // directAllowed reports whether to call the direct store. While it fails, one call is
 // allowed per directRetryInterval.
 func (s *Store) directAllowed() bool {
@@ -114,13 +117,11 @@
 	return true
 }
 
-// recordDirect records whether the direct store works, given the error of a call, and
-// reports whether the call failed to reach it.
-func (s *Store) recordDirect(ctx context.Context, err error) bool {
-	kind := sesamepitch.KindOf(err)
-	failed := kind == sesamepitch.KindUnavailable || kind == sesamepitch.KindOverloaded || kind == sesamepitch.KindUnknown
+// recordDirect records whether the direct store works, given the error of a call.
+func (s *Store) recordDirect(ctx context.Context, err error) {
+	failed := isUnreached(err)
 	if failed && errors.Is(ctx.Err(), context.Canceled) {
-		return true // a cancelled call does not show whether the store works
+		return // a cancelled call does not show whether the store works
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,7 +135,16 @@
 	if failed {
 		s.lastAttempt = s.clock.Now()
 	}
-	return failed
+}
+
+// isUnreached reports whether an error means that the store was not reached, or may
+// not have been.
+func isUnreached(err error) bool {
+	switch sesamepitch.KindOf(err) {
+	case sesamepitch.KindUnavailable, sesamepitch.KindOverloaded, sesamepitch.KindUnknown:
+		return true
+	}
+	return false
 }
 
 func causeOf(err error) string {
@@ -148,17 +158,20 @@
 // none has, it returns the last error; err is the one of the direct call.
 func (s *Store) viaPeers(ctx context.Context, call Call, err error) (Reply, error) {
 	peers := s.peers()
-	for range min(maxPeersTried, len(peers)) {
-		address, index := s.choosePeer(peers)
+	tried := map[string]bool{}
+	for range maxPeersTried {
+		address, found := s.choosePeer(peers, tried)
+		if !found || ctx.Err() != nil {
+			break
+		}
+		tried[address] = true
 		reply, failure := s.callPeer(ctx, address, call)
-		s.recordContact(failure)
+		s.recordPeer(ctx, address, failure)
 		switch sesamepitch.KindOf(failure) {
 		case sesamepitch.KindUnavailable, sesamepitch.KindOverloaded:
-			s.skipPeer(index)
 			err = failure
 			continue
 		case sesamepitch.KindUnknown:
-			s.skipPeer(index)
 			// A commit may have been applied, so it is not repeated.
 			if call.Op == opCommit {
 				return reply, failure
@@ -174,16 +187,20 @@
 	return Reply{}, err
 }
 
-// recordContact sets the time of the last contact if err shows that the store
-// answered through a peer.
-func (s *Store) recordContact(err error) {
-	switch sesamepitch.KindOf(err) {
-	case sesamepitch.KindUnavailable, sesamepitch.KindOverloaded, sesamepitch.KindUnknown:
+// recordPeer records whether the store answered through a peer. A call that was
+// cancelled says nothing of it.
+func (s *Store) recordPeer(ctx context.Context, address string, err error) {
+	failed := isUnreached(err)
+	if failed && errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastContact = s.clock.Now()
+	now := s.clock.Now()
+	s.ranking.record(address, !failed, now)
+	if !failed {
+		s.lastContact = now
+	}
 }
 
 // LastContact returns when the store last answered, directly or through a peer.
@@ -201,19 +218,10 @@
 	return s.caller.Call(ctx, address, serviceName+".Do", Call{Op: opPing}, &reply) == nil
 }
 
-func (s *Store) choosePeer(peers []string) (string, int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return peers[s.nextPeer%len(peers)], s.nextPeer
-}
-
-// skipPeer selects the next peer unless another call already has.
-func (s *Store) skipPeer(index int) {
+func (s *Store) choosePeer(peers []string, tried map[string]bool) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.nextPeer == index {
-		s.nextPeer++
-	}
+	return s.ranking.choose(peers, tried)
 }
 
 func (s *Store) callPeer(ctx context.Context, address string, call Call) (Reply, error) {
--- a/src/relay/relay_test.go
+++ b/src/relay/relay_test.go
@@ -57,7 +57,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := rpc.NewServer()
-	assert.NilError(t, relay.Register(server, direct))
+	assert.NilError(t, relay.Register(server, relay.New(sesamepitch.SystemClock{}, logr.Discard(), direct, nil, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- peer.NewDialer("").Serve(ctx, listener, server) }()
--- a/src/relay/service.go
+++ b/src/relay/service.go
@@ -41,20 +41,23 @@
 
 // Service performs peers' calls on this instance's direct store.
 type Service struct {
-	direct sesamepitch.Store
+	store *Store
 }
 
 // Register adds the service to an RPC server.
-func Register(server *rpc.Server, direct sesamepitch.Store) error {
-	return server.RegisterName(serviceName, &Service{direct: direct})
+func Register(server *rpc.Server, store *Store) error {
+	return server.RegisterName(serviceName, &Service{store: store})
 }
 
 // Do performs one call. Its error is always nil; a failure is returned as the
 // reply's Kind.
 func (s *Service) Do(call Call, reply *Reply) error {
+	if call.Op == opPing {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), call.Wait+peerTimeout)
 	defer cancel()
-	outcome, err := perform(ctx, s.direct, call)
+	outcome, err := s.store.doDirect(ctx, call)
 	*reply = outcome
 	reply.Kind = sesamepitch.KindOf(err)
 	return nil
@@ -76,7 +79,6 @@
 		reply.Changes, err = store.Snapshot(ctx, call.Key)
 	case opChanges:
 		reply.Changes, err = store.Changes(ctx, call.Key, call.After, call.Wait)
-	case opPing:
 	default:
 		err = &Error{Op: "relay." + call.Op, Kind: sesamepitch.KindInvalid}
 	}
