--- a/src/batch/job.go
+++ b/src/batch/job.go
@@ -95,6 +95,10 @@
 	return len(p.Results) > 0 && p.Results[len(p.Results)-1].TargetMet
 }
 
+// MaxOutputBytes is the maximum size of an item's output: its result must fit into
+// one transaction.
+const MaxOutputBytes = maxTxnBytes * 4 / 5
+
 // maxIDLength is the maximum length of an ID in bytes, which keeps row keys within
 // the store's limit.
 const maxIDLength = 150
--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -11,6 +11,7 @@
 	"sesamepitch/src/invariant"
 	"sesamepitch/src/lease"
 	"sesamepitch/src/registry"
+	"sesamepitch/src/supervisor"
 
 	"github.com/go-logr/logr"
 )
@@ -306,13 +307,13 @@
 		clock: d.clock, log: d.log, ledger: d.ledger, registry: d.registry, engines: d.engines, rewards: d.rewards, observeReward: d.observeReward,
 		loader: newLoader(d.clock, d.log, d.control, d.lease.ForFencedCalls(), d.instance, epoch, d.checks),
 		checks: d.checks, holder: d.instance, epoch: epoch, wake: make(chan struct{}, 1),
-		jobs: map[string]*job{}, engineStates: map[string]*engine{}, assigned: map[string]string{}, lags: map[string]lag{},
+		jobs: map[string]*job{}, engineStates: map[string]*engine{}, assigned: map[string]string{}, lags: map[string]lag{}, lengths: map[string]*lengthModel{},
 		cache: newOutputCache(), takenOver: map[string]bool{}, ended: map[string]bool{}, headers: map[string]batch.Header{}, retention: d.retention,
 	}
 	follower := registry.NewFollower(d.clock, d.log, d.store, batch.OpenTable, func(update registry.Update) { s.apply(ctx, update) })
 	ended := make(chan struct{})
 	followed := make(chan error, 1)
-	go func() { followed <- follower.Run(ctx) }()
+	go func() { followed <- supervisor.Guard(func() error { return follower.Run(ctx) }) }()
 	swept := make(chan struct{})
 	go func() {
 		defer close(swept)
--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -180,6 +180,8 @@
 	// centre if the engine was unreachable or stalled.
 	avoid       string
 	avoidCentre string
+	// noCold excludes cold engines, which only the holder of the lease may send to.
+	noCold bool
 }
 
 // fits reports whether an engine may get an item now.
@@ -197,7 +199,7 @@
 		return false
 	case e.loadingModel == req.model && !e.mayProbe(now):
 		return false
-	case now.Before(e.entry.ColdUntil) && now.Before(e.coldNextAt):
+	case now.Before(e.entry.ColdUntil) && (req.noCold || now.Before(e.coldNextAt)):
 		return false
 	}
 	return true
--- a/src/driver/hint.go
+++ b/src/driver/hint.go
@@ -7,6 +7,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
+	"sesamepitch/src/supervisor"
 
 	"github.com/go-logr/logr"
 )
@@ -30,8 +31,10 @@
 // Hint receives the header of a job that was just accepted or ended. An
 // instance that does not hold the driver lease ignores it.
 func (s *Service) Hint(header batch.Header, _ *struct{}) error {
-	s.driver.hint(header)
-	return nil
+	return supervisor.Guard(func() error {
+		s.driver.hint(header)
+		return nil
+	})
 }
 
 // hint passes a job's header to the running session, if there is one.
--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -16,9 +16,9 @@
 	// commitRetryDelay is the time between attempts to record results.
 	commitRetryDelay = 80 * time.Millisecond
 	// checkpointInterval is the time between checkpoints of incomplete outputs.
-	checkpointInterval = 500 * time.Millisecond
+	checkpointInterval = 250 * time.Millisecond
 	// minCheckpointEvents is how many new events make a checkpoint worthwhile.
-	minCheckpointEvents = 8
+	minCheckpointEvents = 4
 )
 
 // job is a batch job that this driver has taken over.
@@ -32,7 +32,9 @@
 	open          []*task
 	singleVersion bool
 	target        *target
-	pending       []batch.Result
+	// lengths estimates the lengths of the outputs of the job's model.
+	lengths *lengthModel
+	pending []batch.Result
 	// handOver asks the commit loop to end; the loop closes the channel it
 	// receives.
 	handOver chan chan struct{}
--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -92,6 +92,13 @@
 	return counts
 }
 
+// holdsLease reports whether this process still holds the lease of the session: a
+// process that was paused may go on as if nothing had happened.
+func (l *loader) holdsLease() bool {
+	epoch, _, held := l.lease.Held()
+	return held && epoch == l.epoch
+}
+
 // mayOrder reports whether an order sent now arrives before the lease expires.
 func (l *loader) mayOrder() bool {
 	epoch, until, held := l.lease.Held()
@@ -111,7 +118,8 @@
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
-		loaded := l.execute(ctx, s, e, to, order)
+		loaded := false
+		s.guard("load of weights", func() { loaded = l.execute(ctx, s, e, to, order) })
 		s.endLoad(e, order, loaded)
 	}()
 }
--- a/src/driver/monitor.go
+++ b/src/driver/monitor.go
@@ -8,28 +8,38 @@
 	// minMigrateGain is how much sooner a task must be complete at another
 	// engine to be moved.
 	minMigrateGain = 400 * time.Millisecond
+	// maxStallDoublings bounds the doublings of the stall limit of a task whose
+	// runs stall one after the other: all engines may just be slow.
+	maxStallDoublings = 5
 )
 
 // endStalled ends the runs of unresponsive engines.
 func (s *session) endStalled(now time.Time) {
 	for _, t := range s.runningTasks() {
-		if t.run.endReason != "" || now.Sub(t.run.lastActivity) <= t.run.stallLimit() {
+		if t.run.endReason != "" || now.Sub(t.run.lastActivity) <= t.run.stallLimit()<<t.stallDoublings() {
 			continue
 		}
+		t.stalls++
 		t.run.engine.recordMiss(now)
 		t.avoid, t.avoidCentre = t.run.engine.entry.ID, t.run.engine.entry.Centre
 		s.stopRun(t.run, "engine is unresponsive")
 	}
 }
 
-// stallLimit returns the time without an event after which the run ends.
+// stallLimit returns the time without an event after which the run ends. An engine
+// whose events take long is not unresponsive.
 func (r *run) stallLimit() time.Duration {
+	slow := slowEventFactor * r.engine.eventTime
 	if !r.gotEvent {
-		return firstEventTimeout
+		return max(firstEventTimeout, slow)
 	}
-	return min(max(stallFactor*r.engine.eventTime, minStallTime), maxStallTime)
+	return max(min(max(stallFactor*r.engine.eventTime, minStallTime), maxStallTime), slow)
 }
 
+// stallDoublings returns how often the stall limit of the task's run is doubled:
+// once for each of its last runs that stalled, from the second one on.
+func (t *task) stallDoublings() int { return min(max(t.stalls-1, 0), maxStallDoublings) }
+
 // stopRun ends a run from the driver's side; the task keeps its partial output.
 func (s *session) stopRun(r *run, reason string) {
 	r.endReason = reason
--- a/src/driver/output.go
+++ b/src/driver/output.go
@@ -15,6 +15,20 @@
 	eventVersions []int64
 }
 
+// size returns the size of the events in bytes, with their separators.
+func (o *output) size() int {
+	size := len(o.events)
+	for _, event := range o.events {
+		size += len(event)
+	}
+	return size
+}
+
+// truncate keeps the first events.
+func (o *output) truncate(events int) {
+	o.events, o.eventVersions = o.events[:events], o.eventVersions[:events]
+}
+
 // outputOfCheckpoint returns the output in an earlier driver's checkpoint. It is
 // empty if the checkpoint does not have a version for each event.
 func outputOfCheckpoint(checkpoint batch.Checkpoint) output {
--- a/src/driver/run.go
+++ b/src/driver/run.go
@@ -6,6 +6,8 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/batch"
+	"sesamepitch/src/supervisor"
 )
 
 const (
@@ -19,6 +21,8 @@
 	stallFactor  = 10
 	minStallTime = 400 * time.Millisecond
 	maxStallTime = 700 * time.Millisecond
+	// slowEventFactor times the engine's time per event is never a stall.
+	slowEventFactor = 2
 	// failureRetryDelay is the time from a failed run to the task's next one.
 	failureRetryDelay = 30 * time.Millisecond
 	// suspiciousInterruptions is the number of runs without any event from
@@ -46,7 +50,10 @@
 	// loaded.
 	probe  bool
 	events int
-	cancel context.CancelFunc
+	// first is the number of events that the output had at the start, bytes the
+	// size of the output.
+	first, bytes int
+	cancel       context.CancelFunc
 	// endReason is why the driver itself ended the run; empty if it did not.
 	endReason string
 }
@@ -55,7 +62,7 @@
 func (s *session) startRun(ctx context.Context, t *task, e *engine) {
 	now := s.clock.Now()
 	ctx, cancel := context.WithCancel(ctx)
-	r := &run{task: t, engine: e, started: now, lastActivity: now, cancel: cancel}
+	r := &run{task: t, engine: e, started: now, lastActivity: now, cancel: cancel, first: len(t.output.events), bytes: t.output.size()}
 	t.run = r
 	e.running++
 	if e.loadingModel == t.job.Model {
@@ -77,7 +84,7 @@
 	go func() {
 		defer s.running.Done()
 		defer cancel()
-		s.endRun(r, s.generate(ctx, r, to, sample))
+		s.endRun(r, supervisor.Guard(func() error { return s.generate(ctx, r, to, sample) }))
 	}()
 }
 
@@ -107,6 +114,7 @@
 	errStale         = errors.New("the engine's weights are older than the job allows")
 	errMixedVersions = errors.New("the output would mix weight versions")
 	errRunEnded      = errors.New("the run has already ended")
+	errTooLarge      = errors.New("the output exceeds the size of a result")
 )
 
 // recordVersion checks and records the weight version that an engine answers
@@ -144,6 +152,10 @@
 		r.task.restart()
 		return &Error{Op: "driver.run", Kind: sesamepitch.KindStale, Err: errMixedVersions}
 	}
+	if r.bytes += len(event.Data) + 1; r.bytes > batch.MaxOutputBytes {
+		s.discardRun(r)
+		return &Error{Op: "driver.run", Kind: sesamepitch.KindCrashed, Err: errTooLarge}
+	}
 	now := s.clock.Now()
 	if r.gotEvent && !r.delayed {
 		r.engine.recordEventTime(now.Sub(r.lastActivity))
@@ -155,9 +167,25 @@
 	r.events++
 	r.task.output.add(event)
 	r.task.interruptions = 0
+	if r.events > 1 {
+		r.task.stalls = 0
+	}
 	return nil
 }
 
+// discardRun removes the events of a run whose engine sends without end, so that
+// another engine continues where the run began. What is checkpointed of them
+// already is part of an attempt that is not continued.
+func (s *session) discardRun(r *run) {
+	t := r.task
+	t.output.truncate(min(r.first, len(t.output.events)))
+	if t.checkpointed > len(t.output.events) {
+		t.attempt++
+		t.checkpointed = 0
+	}
+	r.gotEvent = false
+}
+
 // endRun handles a run's outcome: the task is finished or waits for another
 // run.
 func (s *session) endRun(r *run, err error) {
@@ -182,6 +210,7 @@
 		s.log.Info("item done", "job", t.job.ID, "item", t.item.ID, "engine", r.engine.entry.ID, "events", len(t.output.events),
 			"ms", now.Sub(r.started).Milliseconds())
 		t.complete = true
+		t.job.lengths.observe(t.item.ExpectedTokens, len(t.output.events))
 		s.finishComplete(t, now)
 		return
 	}
--- a/src/driver/scoring.go
+++ b/src/driver/scoring.go
@@ -7,6 +7,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/reward"
+	"sesamepitch/src/supervisor"
 )
 
 // scoring is the progress of the reward call of a complete output.
@@ -73,7 +74,7 @@
 		s.logRewardWait(t, "no route matches the call's host and path")
 		return
 	}
-	if !t.scoring.call.IsDue(now, s.rewardLatency.Patience(route.LatencyTarget)) {
+	if !t.scoring.call.IsDue(now, s.rewardPatience(route)) {
 		return
 	}
 	try, err := s.rewards.Reserve(*t.item.Reward, t.scoring.call.Busy(), t.scoring.call.Avoided())
@@ -93,11 +94,21 @@
 	go func() {
 		defer s.running.Done()
 		defer cancel()
-		score, err := try.Send(ctx)
+		var score string
+		err := supervisor.Guard(func() (err error) {
+			score, err = try.Send(ctx)
+			return err
+		})
 		s.endRewardTry(t, call, try.Endpoint(), now, score, err)
 	}()
 }
 
+// rewardPatience returns how long an endpoint may work on a reward call before
+// another one gets it, too.
+func (s *session) rewardPatience(route sesamepitch.RewardRoute) time.Duration {
+	return s.rewardLatency.Patience(reward.ExpectedLatency(route.LatencyTarget), reward.MinPatience)
+}
+
 // logRewardWait logs why a due call is not sent, once for each cause in a row.
 func (s *session) logRewardWait(t *task, cause string) {
 	if len(t.scoring.cancels) > 0 || t.scoring.waitCause == cause {
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -9,8 +9,8 @@
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 	"sesamepitch/src/invariant"
+	"sesamepitch/src/latency"
 	"sesamepitch/src/registry"
-	"sesamepitch/src/reward"
 	"sesamepitch/src/supervisor"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,8 +64,10 @@
 	// model.
 	lags  map[string]lag
 	cache *outputCache
+	// lengths estimate the lengths of outputs, by model.
+	lengths map[string]*lengthModel
 	// rewardLatency is how long answers to reward calls take.
-	rewardLatency reward.Latency
+	rewardLatency latency.Window
 	observeReward RewardObserver
 	// leaving is set once outputs are checkpointed for the next driver.
 	leaving bool
@@ -82,7 +84,7 @@
 // run places items and tracks runs until ctx ends.
 func (s *session) run(ctx context.Context) {
 	for {
-		s.step(ctx)
+		s.guard("step", func() { s.step(ctx) })
 		select {
 		case <-s.clock.After(minStepInterval):
 		case <-ctx.Done():
@@ -97,6 +99,17 @@
 	}
 }
 
+// guard calls task; a panic is logged and costs only this task.
+func (s *session) guard(name string, task func()) {
+	err := supervisor.Guard(func() error {
+		task()
+		return nil
+	})
+	if err != nil {
+		s.log.Info("driver task failed", "task", name, "cause", err.Error())
+	}
+}
+
 func (s *session) wakeUp() { supervisor.Wake(s.wake) }
 
 // step places waiting items, and once per tick also updates engines, runs, jobs
@@ -178,7 +191,7 @@
 // requirementOf returns what a task requires of an engine. An empty service
 // means that no route matches the task now.
 func (s *session) requirementOf(t *task) requirement {
-	req := requirement{model: t.job.Model, minVersion: t.job.MinVersion, group: t.item.Group, avoid: t.avoid, avoidCentre: t.avoidCentre}
+	req := requirement{model: t.job.Model, minVersion: t.job.MinVersion, group: t.item.Group, avoid: t.avoid, avoidCentre: t.avoidCentre, noCold: !s.loader.holdsLease()}
 	config := s.registry.Config()
 	if config == nil {
 		return req
--- a/src/driver/sweep.go
+++ b/src/driver/sweep.go
@@ -28,7 +28,7 @@
 			return
 		}
 		for _, id := range s.expiredJobs(s.clock.Now()) {
-			s.removeJob(ctx, id)
+			s.guard("removal of job "+id, func() { s.removeJob(ctx, id) })
 		}
 	}
 }
--- a/src/driver/takeover.go
+++ b/src/driver/takeover.go
@@ -6,6 +6,7 @@
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 	"sesamepitch/src/registry"
+	"sesamepitch/src/supervisor"
 )
 
 // apply handles changes of the table of open jobs.
@@ -15,7 +16,11 @@
 			s.forgetHeader(row.Name())
 			continue
 		}
-		header, err := batch.DecodeHeader(row)
+		var header batch.Header
+		err := supervisor.Guard(func() (err error) {
+			header, err = batch.DecodeHeader(row)
+			return err
+		})
 		if err != nil {
 			s.log.Info("job header not decoded", "cause", err.Error())
 			continue
@@ -45,7 +50,7 @@
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
-		s.runJob(ctx, header)
+		s.guard("job "+header.ID, func() { s.runJob(ctx, header) })
 	}()
 }
 
@@ -119,6 +124,10 @@
 	}
 	now := s.clock.Now()
 	s.setDeadlines(j)
+	if s.lengths[j.Model] == nil {
+		s.lengths[j.Model] = newLengthModel(j.Items)
+	}
+	j.lengths = s.lengths[j.Model]
 	finished := map[string]bool{}
 	for _, result := range earlier.results {
 		finished[result.ID] = true
--- a/src/driver/task.go
+++ b/src/driver/task.go
@@ -10,13 +10,8 @@
 )
 
 const (
-	// defaultEvents is the expected length of an output whose trainer gave no
-	// estimate.
-	defaultEvents = 30
 	// defaultEventTime is the expected time per event before any was measured.
 	defaultEventTime = 40 * time.Millisecond
-	// tokensPerEvent converts a trainer's estimate in tokens into events.
-	tokensPerEvent = 59
 	// An output is expected to grow by at least 1/growthDivisor of its present
 	// length.
 	growthDivisor = 3
@@ -38,6 +33,8 @@
 	// event.
 	failures      int
 	interruptions int
+	// stalls counts the runs in a row that were ended as stalled before an event.
+	stalls int
 	// notBefore is the earliest time of the next run after a failure.
 	notBefore time.Time
 	// run is the current run, nil while the task waits.
@@ -126,10 +123,7 @@
 // expectedEvents estimates how many events the output will have. An output that
 // exceeds its trainer's estimate is likely to go on for a while.
 func (t *task) expectedEvents() int {
-	events := defaultEvents
-	if t.item.ExpectedTokens > 0 {
-		events = int(t.item.ExpectedTokens / tokensPerEvent)
-	}
+	events := t.job.lengths.events(t.item.ExpectedTokens)
 	produced := len(t.output.events)
 	return max(events, produced+produced/growthDivisor, produced+1)
 }
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -214,9 +214,14 @@
 	}
 }
 
-// PruneEndpoints drops the state of unregistered endpoints that run no request.
-func (g *Gateway) PruneEndpoints() {
+// Prune drops the state of unregistered endpoints that run no request, and of
+// routes that are gone.
+func (g *Gateway) Prune() {
 	present := g.registry.All()
+	config := g.registry.Config()
+	if config == nil {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, state := range g.endpoints {
@@ -224,4 +229,9 @@
 			delete(g.endpoints, id)
 		}
 	}
+	for name := range g.latencies {
+		if _, found := config.RouteNamed(name); !found {
+			delete(g.latencies, name)
+		}
+	}
 }
--- a/src/gateway/dispatch.go
+++ b/src/gateway/dispatch.go
@@ -8,6 +8,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/registry"
+	"sesamepitch/src/supervisor"
 )
 
 // dispatch is a plain request and the state of its tries.
@@ -30,27 +31,52 @@
 	lastEndpoint registry.Endpoint
 }
 
-// serve tries endpoints until one answers without a server error. A server error
-// is returned if no other try succeeds.
+// try is one send of the request to an endpoint, and its outcome.
+type try struct {
+	endpoint registry.Endpoint
+	began    time.Time
+	answer   sesamepitch.Answer
+	err      error
+}
+
+// isGood reports whether the try has an answer for the caller. A server error is
+// only passed on if no other try has a better answer.
+func (t try) isGood() bool { return t.err == nil && t.answer.Status < http.StatusInternalServerError }
+
+// serve tries endpoints until one has a good answer. An idempotent request that is
+// late at one endpoint also goes to another one; the first good answer counts.
 func (d *dispatch) serve(ctx context.Context) (sesamepitch.Answer, error) {
+	tryCtx, cancel := context.WithCancel(ctx)
+	tries := make(chan try)
+	running := 0
+	defer func() {
+		cancel()
+		for range running {
+			d.record(tryCtx, <-tries)
+		}
+	}()
 	var failed sesamepitch.Answer
 	var cause error
-	for d.mayTry() {
-		endpoint, found := d.gateway.choose(choice{service: d.service, route: d.admission.Route, tried: d.tried})
-		if !found {
-			break
-		}
-		answer, err := d.try(ctx, endpoint)
-		if err == nil && answer.Status < http.StatusInternalServerError {
-			return answer, nil
-		}
-		if err == nil {
-			failed = answer
+	for {
+		if ctx.Err() == nil && d.mayTry(running) && d.startTry(tryCtx, tries) {
+			running++
 		}
-		cause = err
-		if ctx.Err() != nil {
+		if running == 0 {
 			break
 		}
+		select {
+		case ended := <-tries:
+			running--
+			d.record(tryCtx, ended)
+			if ended.isGood() {
+				return ended.answer, nil
+			}
+			if ended.err == nil {
+				failed = ended.answer
+			}
+			cause = ended.err
+		case <-d.gateway.clock.After(d.patience()):
+		}
 	}
 	if failed.Status != 0 {
 		return failed, nil
@@ -58,56 +84,59 @@
 	return sesamepitch.Answer{}, d.refusal(ctx, cause)
 }
 
-func (d *dispatch) mayTry() bool {
-	if d.sent >= d.admission.Route.MaxAttempts || d.unsent >= maxUnsent || d.isQuarantined() {
+// mayTry reports whether to send the request to another endpoint while running
+// tries are under way.
+func (d *dispatch) mayTry(running int) bool {
+	if d.sent+running >= d.admission.Route.MaxAttempts || d.unsent >= maxUnsent || d.isQuarantined() {
 		return false
 	}
-	return !d.mayHaveRun || d.admission.Route.Kind == registry.Idempotent
-}
-
-// isQuarantined reports whether the content is quarantined, and updates crashes.
-func (d *dispatch) isQuarantined() bool {
-	quarantined, crashes := d.gateway.quarantine.IsQuarantined(d.content)
-	d.crashes = crashes
-	return quarantined
+	return !d.mayHaveRun && running == 0 || d.admission.Route.Kind == registry.Idempotent
 }
 
-// reportContent records in the quarantine whether an endpoint answered the content
-// or failed while it ran it. A try that ended with ctx says nothing of the content.
-func (d *dispatch) reportContent(ctx context.Context, err error) {
-	switch kind := sesamepitch.KindOf(err); {
-	case kind == "" && d.crashes > 0:
-		d.gateway.quarantine.RecordAnswer(d.content)
-	case (kind == sesamepitch.KindCrashed || kind == sesamepitch.KindUnknown) && ctx.Err() == nil:
-		d.crashes = d.gateway.quarantine.RecordCrash(d.content, process(d.lastEndpoint))
-		d.gateway.log.Info("content suspected", "request", d.request.ID, "content", d.content, "endpoint", d.lastEndpoint.ID, "crashes", d.crashes)
+// patience returns how long an endpoint may work on the request before another one
+// gets it, too.
+func (d *dispatch) patience() time.Duration {
+	initial := d.admission.Route.LatencyTarget / 2
+	if initial <= 0 {
+		initial = defaultPatience
 	}
+	return d.gateway.latencyOf(d.admission.Route.Name).Patience(initial, minPatience)
 }
 
-func (d *dispatch) try(ctx context.Context, endpoint registry.Endpoint) (sesamepitch.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.tryTime())
-	defer cancel()
-	return d.send(ctx, endpoint, d.gateway.trackRequest(endpoint))
+// startTry sends the request to another endpoint, and reports whether there is
+// one. The try's outcome is sent to tries.
+func (d *dispatch) startTry(ctx context.Context, tries chan<- try) bool {
+	endpoint, found := d.gateway.choose(choice{service: d.service, route: d.admission.Route, tried: d.tried})
+	if !found {
+		return false
+	}
+	d.tried[endpoint.ID] = true
+	done := d.gateway.trackRequest(endpoint)
+	go func() { tries <- d.send(ctx, endpoint, done) }()
+	return true
 }
 
-// send sends the request to an endpoint and records the outcome; done ends the
-// tracking of the request at that endpoint.
-func (d *dispatch) send(ctx context.Context, endpoint registry.Endpoint, done func(error)) (sesamepitch.Answer, error) {
-	d.tried[endpoint.ID] = true
-	d.lastEndpoint = endpoint
+// send sends the request to an endpoint; done ends the tracking of the request at
+// that endpoint.
+func (d *dispatch) send(ctx context.Context, endpoint registry.Endpoint, done func(error)) try {
 	request := d.request
 	request.Workspace = d.admission.Workspace
 	began := d.gateway.clock.Now()
-	answer, err := d.gateway.forward.Forward(ctx, destination(endpoint), request)
+	var answer sesamepitch.Answer
+	err := supervisor.Guard(func() (err error) {
+		answer, err = d.gateway.forward.Forward(ctx, destination(endpoint), request)
+		return err
+	})
 	done(err)
-	d.reportContent(ctx, err)
-	d.recordOutcome(began, err)
-	return answer, err
+	return try{endpoint: endpoint, began: began, answer: answer, err: err}
 }
 
-// recordOutcome counts a try and updates mayHaveRun from its outcome.
-func (d *dispatch) recordOutcome(began time.Time, err error) {
-	kind := sesamepitch.KindOf(err)
+// record counts a try and updates mayHaveRun, the quarantine and the usage from its
+// outcome.
+func (d *dispatch) record(ctx context.Context, t try) {
+	d.lastEndpoint = t.endpoint
+	d.reportContent(ctx, t.err)
+	kind := sesamepitch.KindOf(t.err)
 	if kind == sesamepitch.KindUnavailable {
 		d.unsent++
 		return
@@ -117,23 +146,35 @@
 		return
 	}
 	d.mayHaveRun = true
-	if kind == "" && d.admission.Workspace != "" {
-		d.gateway.meter.Count(d.admission.Workspace, began)
+	if kind != "" {
+		return
+	}
+	if t.isGood() {
+		d.gateway.latencyOf(d.admission.Route.Name).Observe(d.gateway.clock.Now().Sub(t.began))
+	}
+	if d.admission.Workspace != "" {
+		d.gateway.meter.Count(d.admission.Workspace, t.began)
 	}
 }
 
-// tryTime returns the timeout of the next try. A try that may be repeated leaves
-// time for another.
-func (d *dispatch) tryTime() time.Duration {
-	if d.deadline.IsZero() {
-		return time.Hour
-	}
-	left := d.deadline.Sub(d.gateway.clock.Now())
-	lastTry := d.sent+1 >= d.admission.Route.MaxAttempts || d.admission.Route.Kind != registry.Idempotent
-	if lastTry {
-		return left
+// isQuarantined reports whether the content is quarantined, and updates crashes.
+func (d *dispatch) isQuarantined() bool {
+	quarantined, crashes := d.gateway.quarantine.IsQuarantined(d.content)
+	d.crashes = crashes
+	return quarantined
+}
+
+// reportContent records in the quarantine whether the last endpoint answered the
+// content or failed while it ran it. A try that ended with ctx says nothing of the
+// content.
+func (d *dispatch) reportContent(ctx context.Context, err error) {
+	switch kind := sesamepitch.KindOf(err); {
+	case kind == "" && d.crashes > 0:
+		d.gateway.quarantine.RecordAnswer(d.content)
+	case (kind == sesamepitch.KindCrashed || kind == sesamepitch.KindUnknown) && ctx.Err() == nil:
+		d.crashes = d.gateway.quarantine.RecordCrash(d.content, process(d.lastEndpoint))
+		d.gateway.log.Info("content suspected", "request", d.request.ID, "content", d.content, "endpoint", d.lastEndpoint.ID, "crashes", d.crashes)
 	}
-	return max(time.Duration(float64(left)*firstTryFraction), min(minTryTime, left))
 }
 
 func (d *dispatch) refusal(ctx context.Context, cause error) error {
@@ -161,41 +202,3 @@
 func destination(e registry.Endpoint) sesamepitch.Destination {
 	return sesamepitch.Destination{ID: e.ID, Address: e.Address}
 }
-
-// ServeStream sends a streaming request to an endpoint. It tries another one only
-// as long as the request cannot have run.
-func (g *Gateway) ServeStream(ctx context.Context, admission Admission, request sesamepitch.Request, sink sesamepitch.StreamSink) error {
-	d := g.newDispatch(admission, request)
-	if !d.deadline.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, d.deadline.Sub(d.start))
-		defer cancel()
-	}
-	err := d.stream(ctx, sink)
-	g.logOutcome(d, 0, err)
-	return err
-}
-
-func (d *dispatch) stream(ctx context.Context, sink sesamepitch.StreamSink) error {
-	var cause error
-	request := d.request
-	request.Workspace = d.admission.Workspace
-	for d.mayTry() && !d.mayHaveRun {
-		endpoint, found := d.gateway.choose(choice{service: d.service, route: d.admission.Route, tried: d.tried})
-		if !found {
-			break
-		}
-		d.tried[endpoint.ID] = true
-		d.lastEndpoint = endpoint
-		done := d.gateway.trackRequest(endpoint)
-		began := d.gateway.clock.Now()
-		cause = d.gateway.forward.Stream(ctx, destination(endpoint), request, sink)
-		done(cause)
-		d.reportContent(ctx, cause)
-		d.recordOutcome(began, cause)
-		if cause == nil {
-			return nil
-		}
-	}
-	return d.refusal(ctx, cause)
-}
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -12,6 +12,7 @@
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 	"sesamepitch/src/invariant"
+	"sesamepitch/src/latency"
 	"sesamepitch/src/quarantine"
 	"sesamepitch/src/registry"
 
@@ -19,11 +20,11 @@
 )
 
 const (
-	// firstTryFraction is the fraction of the remaining time that the first try of
-	// an idempotent request gets, so that another endpoint can still answer in time.
-	firstTryFraction = 0.45
-	// minTryTime is the shortest timeout of a try.
-	minTryTime = 250 * time.Millisecond
+	// defaultPatience is how long an endpoint may work on an idempotent request
+	// before another one gets it, too, while neither answers nor the route's latency
+	// target tell; minPatience is above the delays of a busy instance.
+	defaultPatience = 250 * time.Millisecond
+	minPatience     = 40 * time.Millisecond
 	// retrySoon is the advised delay when another instance can probably serve the
 	// request, or this one shortly.
 	retrySoon = 100 * time.Millisecond
@@ -39,6 +40,7 @@
 
 var (
 	errNoConfig       = errors.New("no configuration loaded yet")
+	errPaused         = errors.New("the process was paused and has not read the configuration again")
 	errNoEndpointList = errors.New("endpoint list not loaded yet")
 	errNoRoute        = errors.New("no route matches the host and path")
 	errNoKey          = errors.New("missing or unknown API key")
@@ -71,11 +73,27 @@
 	// notify passes the header of an accepted or ended job to the driver.
 	notify       func(batch.Header)
 	connectivity sesamepitch.Connectivity
+	// isFresh reports whether the configuration may decide about callers.
+	isFresh func() bool
 	// quarantine lists the contents that have crashed endpoints.
 	quarantine *quarantine.List
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointState
+	// latencies are those of good answers, by route.
+	latencies map[string]*latency.Window
+}
+
+// latencyOf returns the latencies of a route's answers.
+func (g *Gateway) latencyOf(route string) *latency.Window {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	window := g.latencies[route]
+	if window == nil {
+		window = &latency.Window{}
+		g.latencies[route] = window
+	}
+	return window
 }
 
 // Option configures a Gateway.
@@ -107,10 +125,11 @@
 func New(clock sesamepitch.Clock, log logr.Logger, reg *registry.Registry, forward sesamepitch.Forwarder, ledger *batch.Ledger, meter Meter, centre, region string, options ...Option) *Gateway {
 	g := &Gateway{
 		clock: clock, log: log, registry: reg, forward: forward, ledger: ledger, meter: meter,
-		centre: centre, region: region, endpoints: map[string]*endpointState{},
+		centre: centre, region: region, endpoints: map[string]*endpointState{}, latencies: map[string]*latency.Window{},
 		instances:    func() int { return 1 },
 		notify:       func(batch.Header) {},
 		connectivity: reachable{},
+		isFresh:      func() bool { return true },
 		quarantine:   quarantine.New(clock),
 	}
 	for _, option := range options {
@@ -119,6 +138,12 @@
 	return g
 }
 
+// WithFreshness sets the function that reports whether the configuration may
+// decide about callers: not after a pause of the process, until it is read again.
+func WithFreshness(isFresh func() bool) Option {
+	return func(g *Gateway) { g.isFresh = isFresh }
+}
+
 // Refusal is the error of a request that no endpoint has answered. Its kind says
 // whether the request has run: KindUnavailable and KindOverloaded guarantee that
 // it has not and will not; KindUnknown and KindTimeout guarantee nothing.
@@ -165,6 +190,9 @@
 	if config == nil {
 		return Admission{}, &Refusal{Kind: sesamepitch.KindUnavailable, Err: errNoConfig, After: retrySoon}
 	}
+	if !g.isFresh() {
+		return Admission{}, &Refusal{Kind: sesamepitch.KindUnavailable, Err: errPaused, After: retrySoon}
+	}
 	route, found := config.Match(host, path)
 	if !found {
 		return Admission{}, &Refusal{Kind: sesamepitch.KindNotFound, Err: errNoRoute}
@@ -184,6 +212,9 @@
 	if config == nil {
 		return "", &Refusal{Kind: sesamepitch.KindUnavailable, Err: errNoConfig, After: retrySoon}
 	}
+	if !g.isFresh() {
+		return "", &Refusal{Kind: sesamepitch.KindUnavailable, Err: errPaused, After: retrySoon}
+	}
 	if !config.NeedsKeys() {
 		return "", nil
 	}
--- a/src/gateway/gateway_test.go
+++ b/src/gateway/gateway_test.go
@@ -351,3 +351,43 @@
 	assert.Assert(t, float64(most) <= rate*1.5+5, "%d in a second", most)
 	assert.Assert(t, len(sent) > instances, "%d sent in all", len(sent))
 }
+
+// TestLateRequest cuts one of three endpoints off without a sign: an idempotent
+// request that went there is answered by another endpoint well before its
+// deadline, the late try is given up, and the endpoint gets no further one soon.
+func TestLateRequest(t *testing.T) {
+	givenUp := make(chan struct{}, 1)
+	forward := &forwarder{}
+	var silent string
+	forward.answer = func(ctx context.Context, endpoint string) (sesamepitch.Answer, error) {
+		forward.mu.Lock()
+		if silent == "" {
+			silent = endpoint
+		}
+		isSilent := endpoint == silent
+		forward.mu.Unlock()
+		if !isSilent {
+			return answered(200)
+		}
+		<-ctx.Done()
+		givenUp <- struct{}{}
+		return failed(sesamepitch.KindTimeout)
+	}
+	g := newGateway(forward, &meter{}, "a", "b", "c")
+	admission, err := g.Admit("h", "/safe/x", "k")
+	assert.NilError(t, err)
+	for i := range 10 {
+		began := time.Now()
+		answer, err := g.Serve(context.Background(), admission, sesamepitch.Request{ID: "r", Deadline: began.Add(time.Minute)})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Status, 200)
+		limit := 50 * time.Millisecond
+		if i == 0 {
+			limit += defaultPatience
+		}
+		assert.Assert(t, time.Since(began) < limit, "request %d after %s", i, time.Since(began))
+	}
+	<-givenUp
+	assert.Equal(t, len(forward.asked), 11)
+	assert.Assert(t, g.latencyOf(admission.Route.Name).Patience(time.Minute, 0) < time.Second, "the patience is learned")
+}
--- a/src/gateway/reward.go
+++ b/src/gateway/reward.go
@@ -82,11 +82,12 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	t.dispatch.request.Deadline = t.dispatch.gateway.clock.Now().Add(timeout)
-	answer, err := t.dispatch.send(ctx, t.endpoint, t.done)
-	if err != nil {
-		return "", err
+	ended := t.dispatch.send(ctx, t.endpoint, t.done)
+	t.dispatch.record(ctx, ended)
+	if ended.err != nil {
+		return "", ended.err
 	}
-	return scoreOf(answer)
+	return scoreOf(ended.answer)
 }
 
 var errNoSignature = errors.New("success without a signature")
--- /dev/null
+++ b/src/gateway/stream.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"context"
+
+	sesamepitch "sesamepitch/src"
+)
+
+// ServeStream sends a streaming request to an endpoint. It tries another one only
+// as long as the request cannot have run.
+func (g *Gateway) ServeStream(ctx context.Context, admission Admission, request sesamepitch.Request, sink sesamepitch.StreamSink) error {
+	d := g.newDispatch(admission, request)
+	if !d.deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, d.deadline.Sub(d.start))
+		defer cancel()
+	}
+	err := d.stream(ctx, sink)
+	g.logOutcome(d, 0, err)
+	return err
+}
+
+func (d *dispatch) stream(ctx context.Context, sink sesamepitch.StreamSink) error {
+	var cause error
+	request := d.request
+	request.Workspace = d.admission.Workspace
+	for d.mayTry(0) && !d.mayHaveRun {
+		endpoint, found := d.gateway.choose(choice{service: d.service, route: d.admission.Route, tried: d.tried})
+		if !found {
+			break
+		}
+		d.tried[endpoint.ID] = true
+		done := d.gateway.trackRequest(endpoint)
+		began := d.gateway.clock.Now()
+		cause = d.gateway.forward.Stream(ctx, destination(endpoint), request, sink)
+		done(cause)
+		d.record(ctx, try{endpoint: endpoint, began: began, err: cause})
+		if cause == nil {
+			return nil
+		}
+	}
+	return d.refusal(ctx, cause)
+}
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -62,6 +62,9 @@
 
 // Adapter connects an instance to the users' platform.
 type Adapter struct {
+	// Clock is the clock of all parts; it also advances while the process is
+	// suspended.
+	Clock   sesamepitch.Clock
 	Store   sesamepitch.Store
 	Decoder registry.Decoder
 	Engines sesamepitch.Engines
@@ -87,7 +90,7 @@
 type Instance struct {
 	settings  site.Settings
 	adapter   Adapter
-	clock     *sesamepitch.BootClock
+	clock     sesamepitch.Clock
 	logWriter *eventlog.Writer
 	log       logr.Logger
 	registry  *registry.Registry
@@ -107,12 +110,13 @@
 	memory    *BodyBudget
 	draining  atomic.Bool
 	isolation *isolation
+	pauses    *pauseGuard
 	suspects  *quarantine.List
 }
 
 // New returns an instance that logs to out.
 func New(settings site.Settings, adapter Adapter, out io.Writer, newLog func(io.Writer) logr.Logger) (*Instance, error) {
-	clock := sesamepitch.NewBootClock()
+	clock := adapter.Clock
 	logWriter := eventlog.New(clock, out)
 	i := &Instance{
 		settings: settings, adapter: adapter, clock: clock, logWriter: logWriter,
@@ -120,6 +124,7 @@
 		peers:     peer.NewDialer(settings.Source),
 		rpc:       rpc.NewServer(),
 		isolation: newIsolation(clock),
+		pauses:    newPauseGuard(clock),
 		suspects:  quarantine.New(clock),
 		memory:    NewBodyBudget(int64(bodyShare * float64(settings.MemoryBytes))),
 	}
@@ -153,7 +158,7 @@
 	calls := i.adapter.FencedCalls(guard)
 	i.scaler = scaling.New(i.clock, i.log, i.store, i.registry, calls, i.lease.ForFencedCalls(), s.Instance)
 	i.reporter = billing.NewReporter(i.clock, i.log, i.store, calls, i.lease.ForFencedCalls(), s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate, billing.WithChecks(i.checks))
-	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(func(header batch.Header) { i.hinter.Notify(header) }), gateway.WithConnectivity(i.isolation), gateway.WithQuarantine(i.suspects))
+	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(func(header batch.Header) { i.hinter.Notify(header) }), gateway.WithConnectivity(i.isolation), gateway.WithFreshness(i.pauses.isFresh), gateway.WithQuarantine(i.suspects))
 	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.gateway, i.lease, s.Instance, i.members, driver.WithChecks(i.checks), driver.WithRetention(s.Bounds.Status), driver.WithRewardObserver(i.metrics.observeReward))
 	i.hinter = driver.NewHinter(i.clock, i.log, i.driver, i.peers)
 }
@@ -173,6 +178,7 @@
 		supervisor.NewWorker("endpoint-orders", i.scaler.Run),
 		supervisor.NewWorker("connections", i.closeStaleConnections),
 		supervisor.NewWorker("kept-connections", i.gateway.KeepConnections),
+		supervisor.NewWorker("pauses", i.watchPauses),
 		supervisor.NewWorker("isolation", i.watchIsolation),
 		supervisor.NewWorker("settings", i.watchSettings),
 	)
@@ -251,7 +257,7 @@
 			addresses[e.Address] = true
 		}
 		i.adapter.RetainConnections(addresses)
-		i.gateway.PruneEndpoints()
+		i.gateway.Prune()
 	})
 }
 
--- a/src/registry/registry.go
+++ b/src/registry/registry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/supervisor"
 )
 
 // Decoder converts the platform's rows to this package's types. An error means
@@ -146,7 +147,7 @@
 		if !r.recordVersion(row) {
 			continue
 		}
-		if err := r.applyOperation(row); err != nil {
+		if err := supervisor.Guard(func() error { return r.applyOperation(row) }); err != nil {
 			faults = append(faults, err)
 		}
 	}
@@ -208,7 +209,11 @@
 			r.expire(id, now, storeRecoveredAt)
 			continue
 		}
-		endpoint, err := r.decoder.Endpoint(row, now)
+		var endpoint Endpoint
+		err := supervisor.Guard(func() (err error) {
+			endpoint, err = r.decoder.Endpoint(row, now)
+			return err
+		})
 		if err != nil {
 			delete(r.endpoints, id)
 			faults = append(faults, err)
--- a/src/registry/registry_test.go
+++ b/src/registry/registry_test.go
@@ -20,7 +20,7 @@
 )
 
 // decoder returns the length of a row's value as the configuration's version,
-// and an error for the value "bad".
+// an error for the value "bad", and panics for the value "panic".
 type decoder struct{}
 
 func (decoder) Config(row sesamepitch.Row) (*registry.Config, error) {
@@ -34,6 +34,9 @@
 	if string(row.Value) == "bad" {
 		return registry.Endpoint{}, errors.New("unreadable")
 	}
+	if string(row.Value) == "panic" {
+		panic("malformed")
+	}
 	id := row.Key[strings.LastIndexByte(row.Key, '/')+1:]
 	return registry.Endpoint{ID: id, Service: "lm", Centre: "dc-" + id, Slots: 1, Draining: string(row.Value) == "draining"}, nil
 }
@@ -260,3 +263,14 @@
 	<-ended
 	<-ended
 }
+
+// TestPanickingRow decodes a row with a defect of the decoder among others: it is a
+// fault of that row, and the others are applied.
+func TestPanickingRow(t *testing.T) {
+	r := registry.New(sesamepitch.SystemClock{}, decoder{})
+	faults := r.ApplyEndpoints([]sesamepitch.Row{
+		endpointRow("a", "", 1), endpointRow("b", "panic", 2), endpointRow("c", "bad", 3), endpointRow("d", "", 4),
+	}, true, time.Time{})
+	assert.Equal(t, len(faults), 2, "%v", faults)
+	assert.DeepEqual(t, ids(r.Endpoints("lm")), map[string]bool{"a": true, "d": true})
+}
--- a/src/relay/relay.go
+++ b/src/relay/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/supervisor"
 
 	"github.com/go-logr/logr"
 )
@@ -94,23 +95,27 @@
 
 // doDirect calls the direct store. While that fails, most calls are refused at once.
 func (s *Store) doDirect(ctx context.Context, call Call) (Reply, error) {
-	if !s.directAllowed() {
+	if !s.directAllowed(call) {
 		return Reply{}, &Error{Op: "relay." + call.Op, Kind: sesamepitch.KindUnavailable, Err: errDirectFails}
 	}
-	reply, err := perform(ctx, s.direct, call)
+	var reply Reply
+	err := supervisor.Guard(func() (err error) {
+		reply, err = perform(ctx, s.direct, call)
+		return err
+	})
 	s.recordDirect(ctx, err)
 	return reply, err
 }
 
-// directAllowed reports whether to call the direct store. While it fails, one call is
-// allowed per directRetryInterval.
-func (s *Store) directAllowed() bool {
+// directAllowed reports whether to call the direct store. While it fails, one read is
+// allowed per directRetryInterval; a write would have an unknown outcome.
+func (s *Store) directAllowed(call Call) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.directFailing {
 		return true
 	}
-	if s.clock.Now().Sub(s.lastAttempt) < directRetryInterval {
+	if call.Op == opCommit || s.clock.Now().Sub(s.lastAttempt) < directRetryInterval {
 		return false
 	}
 	s.lastAttempt = s.clock.Now()
--- a/src/relay/relay_test.go
+++ b/src/relay/relay_test.go
@@ -169,3 +169,48 @@
 		cancel()
 	}
 }
+
+// TestNoWriteProbesTheStore writes while direct access fails: the writes go through
+// a peer at once, since one that got no answer would have an unknown outcome.
+func TestNoWriteProbesTheStore(t *testing.T) {
+	memory := standin.NewMemory()
+	dialer := peer.NewDialer("")
+	defer dialer.Close()
+	served := serve(t, memory)
+	local := &view{Memory: standin.NewMemory(), rejects: true}
+	store := relay.New(sesamepitch.SystemClock{}, logr.Discard(), local, dialer, func() []string { return []string{served} })
+	_, err := store.Get(context.Background(), "t//a")
+	assert.NilError(t, err)
+	time.Sleep(800 * time.Millisecond) // a read would try the direct way now
+	local.rejects = false
+	_, err = store.Commit(context.Background(), sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: "t//a"}}})
+	assert.NilError(t, err)
+	assert.Equal(t, memory.Commits(), 1)
+	assert.Equal(t, local.Commits(), 0)
+}
+
+// panicking is a store whose reads panic.
+type panicking struct{ *standin.Memory }
+
+func (panicking) Get(context.Context, string) (sesamepitch.Row, error) { panic("malformed") }
+
+// TestPanickingCall lets the call of a peer, and a call of this instance, panic: it
+// fails, and the next calls are served.
+func TestPanickingCall(t *testing.T) {
+	dialer := peer.NewDialer("")
+	defer dialer.Close()
+	memory := standin.NewMemory()
+	served := serve(t, panicking{memory})
+	store := relay.New(sesamepitch.SystemClock{}, logr.Discard(), &view{Memory: memory, rejects: true}, dialer, func() []string { return []string{served} })
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := store.Get(ctx, "t//a")
+	assert.Assert(t, err != nil)
+	_, err = store.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: "t//a"}}})
+	assert.NilError(t, err)
+	own := relay.New(sesamepitch.SystemClock{}, logr.Discard(), panicking{memory}, dialer, func() []string { return nil })
+	_, err = own.Get(ctx, "t//a")
+	assert.Assert(t, err != nil)
+	_, err = own.List(ctx, "t//")
+	assert.NilError(t, err)
+}
--- a/src/relay/service.go
+++ b/src/relay/service.go
@@ -10,6 +10,9 @@
 
 const serviceName = "Relay"
 
+// maxWait bounds the wait that a peer may ask for.
+const maxWait = 30 * time.Second
+
 // The operations of a Call.
 const (
 	opGet      = "get"
@@ -55,7 +58,7 @@
 	if call.Op == opPing {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), call.Wait+peerTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), min(call.Wait, maxWait)+peerTimeout)
 	defer cancel()
 	outcome, err := s.store.doDirect(ctx, call)
 	*reply = outcome
--- a/src/supervisor/supervisor.go
+++ b/src/supervisor/supervisor.go
@@ -80,18 +80,18 @@
 		case <-ctx.Done():
 		}
 	}
-	exits <- Exit{Name: worker.name, Err: runRecovered(ctx, worker)}
+	exits <- Exit{Name: worker.name, Err: Guard(func() error { return worker.run(ctx) })}
 }
 
-// runRecovered runs a worker and returns a panic as an error, so that it doesn't
-// crash the process.
-func runRecovered(ctx context.Context, worker Worker) (err error) {
+// Guard calls task and returns a panic as an error, so that it costs only this task
+// and not the process.
+func Guard(task func() error) (err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			err = fmt.Errorf("panic: %v\n%s", cause, debug.Stack())
 		}
 	}()
-	return worker.run(ctx)
+	return task()
 }
 
 // Wake signals a channel of capacity one. It never blocks; a signal that is not
