Takeovers read no results: the job's cursor says which items are finished

Change: the cursor has a bit for each finished item; checkpoints of few items are read one by one. Cursors of older programs are read as before.

--- a/src/batch/batch_test.go
+++ b/src/batch/batch_test.go
@@ -356,7 +356,7 @@
 	assert.NilError(t, claim.Append(ctx, nil, parts))
 	_, err = store.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: "progress/j/00001/000000000000009/000000", Value: []byte("{")}}})
 	assert.NilError(t, err)
-	outputs, faults, err := ledger.Checkpoints(ctx, "j")
+	outputs, faults, err := ledger.Checkpoints(ctx, "j", []int{0, 1, 2})
 	assert.NilError(t, err)
 	assert.Equal(t, len(faults), 1, "a row that cannot be decoded costs no other item: %v", faults)
 	assert.Assert(t, outputs[0].Complete)
@@ -485,3 +485,31 @@
 		})
 	}
 }
+
+// TestFinishedItems takes a job over twice: the items with a result are known from
+// the claim alone, but not if a writer did not keep them.
+func TestFinishedItems(t *testing.T) {
+	ctx := context.Background()
+	store := standin.NewMemory()
+	ledger := batch.NewLedger(sesamepitch.SystemClock{}, store)
+	assert.NilError(t, ledger.Accept(ctx, jobOf("j", "guild", 30, 10)))
+	claim := func(holder string, epoch int64) *batch.Claim {
+		c, err := ledger.Claim(ctx, "j", holder, epoch)
+		assert.NilError(t, err)
+		return c
+	}
+	result := func(item int) batch.Result {
+		return batch.Result{Item: item, ID: fmt.Sprintf("item-%d", item), State: batch.Done}
+	}
+	first := claim("a", 1)
+	assert.NilError(t, first.Append(ctx, []batch.Result{result(17), result(3)}, nil))
+	second := claim("b", 2)
+	assert.NilError(t, second.Append(ctx, []batch.Result{result(29)}, nil))
+	items, known := claim("c", 3).Finished()
+	assert.Assert(t, known)
+	assert.DeepEqual(t, items, []int{3, 17, 29})
+	_, err := store.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: "mark/j/j", Value: []byte(`{"holder":"d","epoch":4,"count":4,"renewal":9}`)}}})
+	assert.NilError(t, err)
+	_, known = claim("e", 5).Finished()
+	assert.Assert(t, !known)
+}
--- a/src/batch/checkpoint.go
+++ b/src/batch/checkpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -47,7 +48,12 @@
 }
 
 func checkpointKey(id string, c Checkpoint) string {
-	return fmt.Sprintf("%s/%s/%05d/%015d/%06d", checkpointTable, id, c.Item, c.Attempt, c.From)
+	return checkpointPrefix(id, c.Item) + fmt.Sprintf("%015d/%06d", c.Attempt, c.From)
+}
+
+// checkpointPrefix returns the prefix of the keys of an item's checkpoints.
+func checkpointPrefix(id string, item int) string {
+	return fmt.Sprintf("%s/%s/%05d/", checkpointTable, id, item)
 }
 
 // CheckpointSize returns the approximate number of bytes of events that fit into
@@ -62,11 +68,23 @@
 	return writes
 }
 
-// Checkpoints returns the partial output of the latest attempt of each item, joined
-// from its checkpoints, by the item's index. A row that cannot be decoded is left
+// maxItemReads is the number of items whose checkpoints are read one by one; for
+// more of them, all checkpoints of the job are read at once.
+const maxItemReads = 12
+
+// Checkpoints returns the partial output of the latest attempt of each of the items,
+// joined from its checkpoints, by the item's index. Few items are read one by one,
+// which spares the checkpoints of all that are finished. A row that cannot be decoded is left
 // out and its error is among the faults; the parts behind it are of no use, either.
-func (l *Ledger) Checkpoints(ctx context.Context, id string) (outputs map[int]Checkpoint, faults []error, err error) {
-	rows, err := l.store.List(ctx, checkpointTable+"/"+id+"/")
+func (l *Ledger) Checkpoints(ctx context.Context, id string, items []int) (outputs map[int]Checkpoint, faults []error, err error) {
+	prefixes := []string{checkpointTable + "/" + id + "/"}
+	if len(items) <= maxItemReads {
+		prefixes = nil
+		for _, item := range items {
+			prefixes = append(prefixes, checkpointPrefix(id, item))
+		}
+	}
+	rows, err := l.listAll(ctx, prefixes)
 	if err != nil {
 		return nil, nil, &Error{Op: "batch.progress", Kind: sesamepitch.KindUnavailable, Err: err}
 	}
@@ -82,6 +100,29 @@
 	return outputs, faults, nil
 }
 
+// listAll reads the rows of all prefixes concurrently, those of each in order.
+func (l *Ledger) listAll(ctx context.Context, prefixes []string) ([]sesamepitch.Row, error) {
+	type outcome struct {
+		rows []sesamepitch.Row
+		err  error
+	}
+	outcomes := make(chan outcome, len(prefixes))
+	for _, prefix := range prefixes {
+		go func() {
+			rows, err := l.store.List(ctx, prefix)
+			outcomes <- outcome{rows, err}
+		}()
+	}
+	var all []sesamepitch.Row
+	var failure error
+	for range prefixes {
+		o := <-outcomes
+		all = append(all, o.rows...)
+		failure = errors.Join(failure, o.err)
+	}
+	return all, failure
+}
+
 // joinCheckpoints appends a part to an output of the same attempt; the first part
 // of a later attempt replaces the output, and parts that do not continue it are
 // ignored. Parts must be passed in the order of their keys.
--- a/src/batch/job.go
+++ b/src/batch/job.go
@@ -69,6 +69,8 @@
 
 // Result is the outcome of one item at a fixed position of its job.
 type Result struct {
+	// Item is the item's index in its job.
+	Item     int     `json:"-"`
 	ID       string  `json:"id"`
 	State    State   `json:"state"`
 	Output   string  `json:"text"`
--- a/src/batch/results.go
+++ b/src/batch/results.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -34,6 +35,15 @@
 	// Renewal increases with each append, so that the cursor also changes when no
 	// result is appended, and readBack can recognise each append.
 	Renewal int64 `json:"renewal"`
+	// Finished has a bit for each item that has a result, by the item's index, so
+	// that a new writer need not read the results.
+	Finished itemSet `json:"finished,omitempty"`
+}
+
+// equals reports whether two cursors are the same.
+func (c Cursor) equals(other Cursor) bool {
+	return c.Holder == other.Holder && c.Epoch == other.Epoch && c.Count == other.Count && c.Renewal == other.Renewal &&
+		bytes.Equal(c.Finished, other.Finished)
 }
 
 // Claim is the right to append results to a job. It ends when another process
@@ -46,6 +56,14 @@
 	first   bool
 }
 
+// Finished returns the indexes of the items with a result. It is not known if a
+// part of the results was written by a version of this program that did not keep
+// them.
+func (c *Claim) Finished() (items []int, known bool) {
+	items = c.cursor.Finished.items()
+	return items, len(items) == c.cursor.Count
+}
+
 // IsFirst reports whether the job had not been claimed before.
 func (c *Claim) IsFirst() bool { return c.first }
 
@@ -74,8 +92,10 @@
 	next := c.cursor
 	next.Count += len(results)
 	next.Renewal++
+	next.Finished = c.cursor.Finished.clone()
 	writes := checkpointWrites(c.id, checkpoints)
 	for i, result := range results {
+		next.Finished = next.Finished.with(result.Item)
 		for k, chunk := range c.ledger.split(rowstore.Encode(result)) {
 			writes = append(writes, sesamepitch.Write{Key: resultKey(c.id, c.cursor.Count+i, k), Value: chunk})
 		}
@@ -115,7 +135,7 @@
 	if cursor.Epoch > next.Epoch {
 		return &Error{Op: "batch.commit", Kind: sesamepitch.KindConflict, Err: errFenced}
 	}
-	if cursor != next {
+	if !cursor.equals(next) {
 		return &Error{Op: "batch.commit", Kind: sesamepitch.KindUnavailable, Err: errCursorChanged}
 	}
 	c.cursor, c.version = cursor, version
--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -178,6 +178,7 @@
 	if t.job.ended {
 		return
 	}
+	result.Item = t.index
 	t.job.pending = append(t.job.pending, result)
 	supervisor.Wake(t.job.wake)
 }
--- a/src/driver/scoring_test.go
+++ b/src/driver/scoring_test.go
@@ -223,7 +223,7 @@
 	_, kill := f.startDriver("a")
 	f.submitScored("j", "x")
 	eventually(t, func() bool {
-		checkpoints, _, err := f.ledger.Checkpoints(context.Background(), "j")
+		checkpoints, _, err := f.ledger.Checkpoints(context.Background(), "j", []int{0})
 		return err == nil && checkpoints[0].Complete
 	})
 	kill()
@@ -268,7 +268,7 @@
 	f.startDriver("a")
 	f.submitScored("j", "x")
 	eventually(t, func() bool {
-		checkpoints, _, err := f.ledger.Checkpoints(context.Background(), "j")
+		checkpoints, _, err := f.ledger.Checkpoints(context.Background(), "j", []int{0})
 		return err == nil && checkpoints[0].Complete
 	})
 	assert.Equal(t, len(f.rewards.sendsOf("r-x")), 0)
--- a/src/driver/takeover.go
+++ b/src/driver/takeover.go
@@ -80,9 +80,10 @@
 	}
 }
 
-// earlierState is what earlier drivers recorded of a job.
+// earlierState is what earlier drivers recorded of a job: the items with a result
+// and the checkpoints of the others, by the items' indexes.
 type earlierState struct {
-	results     []batch.Result
+	finished    map[int]bool
 	checkpoints map[int]batch.Checkpoint
 }
 
@@ -101,15 +102,43 @@
 	if claim.IsFirst() {
 		return j, earlierState{}, nil
 	}
-	results, err := s.ledger.AllResults(ctx, header.ID)
-	if err != nil {
-		return nil, earlierState{}, err
+	earlier := earlierState{}
+	if earlier.finished, err = s.finishedItems(ctx, j); err != nil {
+		return nil, earlier, err
+	}
+	var unfinished []int
+	for i := range j.Items {
+		if !earlier.finished[i] {
+			unfinished = append(unfinished, i)
+		}
 	}
-	checkpoints, faults, err := s.ledger.Checkpoints(ctx, header.ID)
+	var faults []error
+	earlier.checkpoints, faults, err = s.ledger.Checkpoints(ctx, header.ID, unfinished)
 	for _, fault := range faults {
 		s.log.Info("checkpoint ignored", "job", header.ID, "cause", fault.Error())
 	}
-	return j, earlierState{results: results, checkpoints: checkpoints}, err
+	return j, earlier, err
+}
+
+// finishedItems returns the items of a job that have a result, by index.
+func (s *session) finishedItems(ctx context.Context, j *job) (map[int]bool, error) {
+	finished := map[int]bool{}
+	items, known := j.claim.Finished()
+	for _, item := range items {
+		finished[item] = true
+	}
+	if known {
+		return finished, nil
+	}
+	results, err := s.ledger.AllResults(ctx, j.ID)
+	ids := map[string]bool{}
+	for _, result := range results {
+		ids[result.ID] = true
+	}
+	for i, item := range j.Items {
+		finished[i] = ids[item.ID]
+	}
+	return finished, err
 }
 
 // addJob queues a job's unfinished items.
@@ -128,11 +157,6 @@
 		s.lengths[j.Model] = newLengthModel(j.Items)
 	}
 	j.lengths = s.lengths[j.Model]
-	finished := map[string]bool{}
-	for _, result := range earlier.results {
-		finished[result.ID] = true
-	}
-	j.recorded = len(earlier.results)
 	resumed := 0
 	for _, item := range j.Items {
 		if s.cache.has(itemKey{j.Workspace, j.Route, item.ID}) {
@@ -140,9 +164,10 @@
 		}
 	}
 	for i, item := range j.Items {
-		t := &task{item: item, job: j, index: i, waitingSince: now, finished: finished[item.ID], attempt: s.epoch << attemptBits}
+		t := &task{item: item, job: j, index: i, waitingSince: now, finished: earlier.finished[i], attempt: s.epoch << attemptBits}
 		j.tasks = append(j.tasks, t)
 		if t.finished {
+			j.recorded++
 			j.target.finish(item.Group)
 			continue
 		}
@@ -158,7 +183,7 @@
 	s.jobs[j.ID] = j
 	s.recordLag(j)
 	s.log.Info("job taken over", "job", j.ID, "step", j.Step, "model", j.Model, "min_version", j.MinVersion,
-		"named", s.registry.Versions()[j.Model], "items", len(j.Items), "listed", len(earlier.results), "carried", resumed,
+		"named", s.registry.Versions()[j.Model], "items", len(j.Items), "listed", j.recorded, "carried", resumed,
 		"age_ms", now.Sub(j.Submitted).Milliseconds())
 }
 
--- a/src/latency/latency.go
+++ b/src/latency/latency.go
@@ -43,13 +43,22 @@
 // Patience returns after how long a call counts as late; initial applies while
 // there are too few answers, and the result is at least minimum.
 func (w *Window) Patience(initial, minimum time.Duration) time.Duration {
+	late, known := w.Quantile(lateShare)
+	if !known {
+		return max(initial, minimum)
+	}
+	return max(lateFactor*late, minimum)
+}
+
+// Quantile returns the latency that a share of the answers does not exceed, and
+// whether there are enough of them.
+func (w *Window) Quantile(share float64) (latency time.Duration, known bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.latencies) < minAnswers {
-		return max(initial, minimum)
+		return 0, false
 	}
 	sorted := slices.Clone(w.latencies)
 	slices.Sort(sorted)
-	late := sorted[int(lateShare*float64(len(sorted)-1))]
-	return max(lateFactor*late, minimum)
+	return sorted[int(share*float64(len(sorted)-1))], true
 }
