TestLeavingEndpoint logs what the daemons said when it fails

Change: the daemons' lines on the two endpoints, their owners, leaders and the platform are logged before the assertion, which is unchanged.

--- a/cluster_test.go
+++ b/cluster_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -162,6 +163,18 @@
 	}
 }
 
+// logLines logs the daemons' log lines that contain one of the words.
+func (c *cluster) logLines(words ...string) {
+	c.t.Helper()
+	for _, d := range c.daemons {
+		for _, line := range strings.Split(d.log.String(), "\n") {
+			if slices.ContainsFunc(words, func(word string) bool { return strings.Contains(line, word) }) {
+				c.t.Logf("%s: %s", d.name, line)
+			}
+		}
+	}
+}
+
 // awaitListening waits until the address accepts connections.
 func (c *cluster) awaitListening(name, address string) {
 	c.t.Helper()
--- a/load_test.go
+++ b/load_test.go
@@ -238,6 +238,9 @@
 	c.postControl(c.platform, "live", sesamepitch.Liveness{Name: "engine-2-2", Centre: "dc-2", State: sesamepitch.StateLeaving})
 	time.Sleep(maxLeaveTime + 2*time.Second)
 	last := c.lastStart("engine-1-1", "engine-2-2")
+	if last.Sub(started) >= maxLeaveTime {
+		c.logLines("engine-1-1", "engine-2-2", "leader", "owner", "platform")
+	}
 	assert.Assert(t, last.Sub(started) < maxLeaveTime, "new work %s after", last.Sub(started))
 	c.engines["engine-1-1"].kill()
 	c.engines["engine-2-2"].kill()
