--- a/src/driver/scoring.go
+++ b/src/driver/scoring.go
@@ -69,7 +69,7 @@
 	if now.Before(t.scoring.call.NotBefore()) {
 		return
 	}
-	route, found := s.rewards.Route(*t.item.Reward)
+	route, found := s.rewards.RewardRoute(*t.item.Reward)
 	if !found {
 		s.logRewardWait(t, "no route matches the call's host and path")
 		return
@@ -77,7 +77,7 @@
 	if !t.scoring.call.IsDue(now, s.rewardPatience(route)) {
 		return
 	}
-	try, err := s.rewards.Reserve(*t.item.Reward, t.scoring.call.Busy(), t.scoring.call.Avoided())
+	try, err := s.rewards.ReserveReward(*t.item.Reward, t.scoring.call.Busy(), t.scoring.call.Avoided())
 	if err != nil {
 		s.logRewardWait(t, causeOf(err))
 		return
@@ -147,7 +147,7 @@
 func (s *session) handleRewardFailure(t *task, endpoint string, now time.Time, err error) {
 	call := &t.scoring.call
 	call.Fail(endpoint, sesamepitch.KindOf(err), now)
-	route, _ := s.rewards.Route(*t.item.Reward)
+	route, _ := s.rewards.RewardRoute(*t.item.Reward)
 	hopeless := call.IsHopeless(route)
 	s.log.Info("reward call failed", "job", t.job.ID, "item", t.item.ID, "call", t.item.Reward.ID, "endpoint", endpoint,
 		"sends", call.Sent(), "failures", call.Failures(), "kind", string(sesamepitch.KindOf(err)), "cause", causeOf(err), "given_up", hopeless)
--- a/src/driver/scoring_test.go
+++ b/src/driver/scoring_test.go
@@ -47,13 +47,13 @@
 	return &fakeRewards{endpoints: endpoints, bad: map[string]error{}, scripts: map[string][]rewardScript{}, running: map[string]int{}, slots: 4}
 }
 
-func (r *fakeRewards) Route(sesamepitch.RewardCall) (sesamepitch.RewardRoute, bool) {
+func (r *fakeRewards) RewardRoute(sesamepitch.RewardCall) (sesamepitch.RewardRoute, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return sesamepitch.RewardRoute{MaxAttempts: 4, LatencyTarget: 100 * time.Millisecond, Endpoints: len(r.endpoints)}, !r.noRoute
 }
 
-func (r *fakeRewards) Reserve(call sesamepitch.RewardCall, excluded, avoided []string) (sesamepitch.RewardTry, error) {
+func (r *fakeRewards) ReserveReward(call sesamepitch.RewardCall, excluded, avoided []string) (sesamepitch.RewardTry, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	choose := func(unwanted []string) string {
--- a/src/gateway/reward.go
+++ b/src/gateway/reward.go
@@ -15,8 +15,8 @@
 // occupy; the others stay free for callers' requests, which wait for no step.
 const rewardSlotShare = 2.0 / 3
 
-// Route returns the route of a reward call by the configuration in force.
-func (g *Gateway) Route(call sesamepitch.RewardCall) (sesamepitch.RewardRoute, bool) {
+// RewardRoute returns the route of a reward call by the configuration in force.
+func (g *Gateway) RewardRoute(call sesamepitch.RewardCall) (sesamepitch.RewardRoute, bool) {
 	route, found := g.rewardRoute(call)
 	if !found {
 		return sesamepitch.RewardRoute{}, false
@@ -36,9 +36,9 @@
 	return config.Match(call.Host, call.Path)
 }
 
-// Reserve chooses an endpoint for a reward call. The call bears no key and belongs
+// ReserveReward chooses an endpoint for a reward call. The call bears no key and belongs
 // to no workspace, so it is in no usage report.
-func (g *Gateway) Reserve(call sesamepitch.RewardCall, excluded, avoided []string) (sesamepitch.RewardTry, error) {
+func (g *Gateway) ReserveReward(call sesamepitch.RewardCall, excluded, avoided []string) (sesamepitch.RewardTry, error) {
 	route, found := g.rewardRoute(call)
 	if !found {
 		return nil, &Error{Op: "reward", Kind: sesamepitch.KindNotFound, Err: errNoRoute}
--- a/src/gateway/reward_test.go
+++ b/src/gateway/reward_test.go
@@ -38,7 +38,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			counts := &meter{}
 			g := newGateway(&forwarder{answer: func(context.Context, string) (sesamepitch.Answer, error) { return c.answer, c.err }}, counts, "a")
-			try, err := g.Reserve(rewardCall, nil, nil)
+			try, err := g.ReserveReward(rewardCall, nil, nil)
 			assert.NilError(t, err)
 			score, err := try.Send(context.Background())
 			assert.Equal(t, sesamepitch.KindOf(err), c.kind)
@@ -54,7 +54,7 @@
 	g := newGateway(&forwarder{answer: scored}, &meter{}, "a", "b")
 	var tries []sesamepitch.RewardTry
 	for {
-		try, err := g.Reserve(rewardCall, nil, nil)
+		try, err := g.ReserveReward(rewardCall, nil, nil)
 		if err != nil {
 			break
 		}
@@ -63,7 +63,7 @@
 	assert.Equal(t, len(tries), 2*4, "two endpoints with six slots")
 	_, err := tries[0].Send(context.Background())
 	assert.NilError(t, err)
-	again, err := g.Reserve(rewardCall, nil, nil)
+	again, err := g.ReserveReward(rewardCall, nil, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, again.Endpoint(), tries[0].Endpoint())
 }
@@ -85,7 +85,7 @@
 		assert.Assert(t, round < outputs, "%d calls still wait", waiting)
 		var sent []sesamepitch.RewardTry
 		for range waiting {
-			try, err := g.Reserve(rewardCall, nil, nil)
+			try, err := g.ReserveReward(rewardCall, nil, nil)
 			if err != nil {
 				break
 			}
@@ -117,14 +117,14 @@
 // the one that failed it only if there is no other.
 func TestRewardAvoids(t *testing.T) {
 	g := newGateway(&forwarder{answer: scored}, &meter{}, "a", "b")
-	try, err := g.Reserve(rewardCall, nil, []string{"a"})
+	try, err := g.ReserveReward(rewardCall, nil, []string{"a"})
 	assert.NilError(t, err)
 	assert.Equal(t, try.Endpoint(), "b")
-	try, err = g.Reserve(rewardCall, []string{"b"}, []string{"a"})
+	try, err = g.ReserveReward(rewardCall, []string{"b"}, []string{"a"})
 	assert.NilError(t, err)
 	assert.Equal(t, try.Endpoint(), "a")
-	_, err = g.Reserve(rewardCall, []string{"a", "b"}, nil)
+	_, err = g.ReserveReward(rewardCall, []string{"a", "b"}, nil)
 	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindUnavailable)
-	_, err = g.Reserve(sesamepitch.RewardCall{Host: "nowhere", Path: "/"}, nil, nil)
+	_, err = g.ReserveReward(sesamepitch.RewardCall{Host: "nowhere", Path: "/"}, nil, nil)
 	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindNotFound)
 }
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -114,12 +114,12 @@
 
 // RewardCaller chooses endpoints for reward calls by the configuration in force.
 type RewardCaller interface {
-	// Route returns the route of a call, and whether there is one.
-	Route(call RewardCall) (RewardRoute, bool)
-	// Reserve chooses an endpoint for a call. The endpoints in excluded are not
+	// RewardRoute returns the route of a call, and whether there is one.
+	RewardRoute(call RewardCall) (RewardRoute, bool)
+	// ReserveReward chooses an endpoint for a call. The endpoints in excluded are not
 	// chosen, those in avoided only if there is no other. Errors are of the kinds
 	// KindNotFound (no route) and KindUnavailable (no endpoint may get it now).
-	Reserve(call RewardCall, excluded, avoided []string) (RewardTry, error)
+	ReserveReward(call RewardCall, excluded, avoided []string) (RewardTry, error)
 }
 
 // Event is one event of an engine's stream.
