--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -188,6 +188,7 @@
 	t.Helper()
 	clock := sesamepitch.SystemClock{}
 	f := &fixture{t: t, store: standin.NewMemory(), engines: newFakeEngines(), rewards: newFakeRewards("s0", "s1", "s2"), registry: registry.New(clock, decoder{})}
+	f.rewards.engines = f.engines
 	f.ledger = batch.NewLedger(clock, f.store)
 	f.registry.ApplyOperators([]sesamepitch.Row{{Key: "op//config", Version: 1}, {Key: "op//version", Version: 1}}, true)
 	var rows []sesamepitch.Row
--- a/src/driver/scoring_test.go
+++ b/src/driver/scoring_test.go
@@ -136,7 +136,6 @@
 // submitScored submits a job whose items have a reward call "r-" and the item's ID.
 func (f *fixture) submitScored(id string, items ...string) {
 	f.t.Helper()
-	f.rewards.engines = f.engines
 	job := batch.Job{Header: batch.Header{ID: id, Workspace: "w", Route: "train", Host: "h", Model: "coach", MinVersion: 1, Submitted: time.Now()}}
 	for _, item := range items {
 		call := &sesamepitch.RewardCall{ID: "r-" + item, Host: "h", Path: "/score/1", Body: []byte(item)}
