Reward calls count endpoints only when they fail; one check admits callers

Read once more: the route of each reward call under way was looked up with a count of all its endpoints at every step of the driver, although only a failed call needs the count (RewardEndpoints now). Admit checked the configuration and the pause twice, once through AdmitKey (freshConfig and workspaceOf now). Behaviour is unchanged; the packages' tests passed.

--- a/src/batch/checkpoint.go
+++ b/src/batch/checkpoint.go
@@ -74,8 +74,9 @@
 
 // Checkpoints returns the partial output of the latest attempt of each of the items,
 // joined from its checkpoints, by the item's index. Few items are read one by one,
-// which spares the checkpoints of all that are finished. A row that cannot be decoded is left
-// out and its error is among the faults; the parts behind it are of no use, either.
+// which spares the checkpoints of all that are finished. A row that cannot be
+// decoded is left out and its error is among the faults; the parts behind it are of
+// no use, either.
 func (l *Ledger) Checkpoints(ctx context.Context, id string, items []int) (outputs map[int]Checkpoint, faults []error, err error) {
 	prefixes := []string{checkpointTable + "/" + id + "/"}
 	if len(items) <= maxItemReads {
--- a/src/driver/scoring_test.go
+++ b/src/driver/scoring_test.go
@@ -50,9 +50,11 @@
 func (r *fakeRewards) RewardRoute(sesamepitch.RewardCall) (sesamepitch.RewardRoute, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return sesamepitch.RewardRoute{MaxAttempts: 4, LatencyTarget: 100 * time.Millisecond, Endpoints: len(r.endpoints)}, !r.noRoute
+	return sesamepitch.RewardRoute{MaxAttempts: 4, LatencyTarget: 100 * time.Millisecond}, !r.noRoute
 }
 
+func (r *fakeRewards) RewardEndpoints(sesamepitch.RewardCall) int { return len(r.endpoints) }
+
 func (r *fakeRewards) ReserveReward(call sesamepitch.RewardCall, excluded, avoided []string) (sesamepitch.RewardTry, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -186,12 +186,9 @@
 
 // Admit returns the route of a request and the workspace of its key.
 func (g *Gateway) Admit(host, path, key string) (Admission, error) {
-	config := g.registry.Config()
-	if config == nil {
-		return Admission{}, &Refusal{Kind: sesamepitch.KindUnavailable, Err: errNoConfig, After: retrySoon}
-	}
-	if !g.isFresh() {
-		return Admission{}, &Refusal{Kind: sesamepitch.KindUnavailable, Err: errPaused, After: retrySoon}
+	config, err := g.freshConfig()
+	if err != nil {
+		return Admission{}, err
 	}
 	route, found := config.Match(host, path)
 	if !found {
@@ -201,20 +198,33 @@
 	if route.Public || !config.NeedsKeys() {
 		return admission, nil
 	}
-	workspace, err := g.AdmitKey(key)
-	admission.Workspace = workspace
+	admission.Workspace, err = workspaceOf(config, key)
 	return admission, err
 }
 
 // AdmitKey returns the workspace of a key.
 func (g *Gateway) AdmitKey(key string) (string, error) {
+	config, err := g.freshConfig()
+	if err != nil {
+		return "", err
+	}
+	return workspaceOf(config, key)
+}
+
+// freshConfig returns the configuration that decides about callers.
+func (g *Gateway) freshConfig() (*registry.Config, error) {
 	config := g.registry.Config()
 	if config == nil {
-		return "", &Refusal{Kind: sesamepitch.KindUnavailable, Err: errNoConfig, After: retrySoon}
+		return nil, &Refusal{Kind: sesamepitch.KindUnavailable, Err: errNoConfig, After: retrySoon}
 	}
 	if !g.isFresh() {
-		return "", &Refusal{Kind: sesamepitch.KindUnavailable, Err: errPaused, After: retrySoon}
+		return nil, &Refusal{Kind: sesamepitch.KindUnavailable, Err: errPaused, After: retrySoon}
 	}
+	return config, nil
+}
+
+// workspaceOf returns the workspace of a key, none if no keys are needed.
+func workspaceOf(config *registry.Config, key string) (string, error) {
 	if !config.NeedsKeys() {
 		return "", nil
 	}
--- a/src/gateway/reward.go
+++ b/src/gateway/reward.go
@@ -21,11 +21,18 @@
 	if !found {
 		return sesamepitch.RewardRoute{}, false
 	}
+	return sesamepitch.RewardRoute{MaxAttempts: route.MaxAttempts, LatencyTarget: route.LatencyTarget}, true
+}
+
+// RewardEndpoints returns the number of endpoints that may get a reward call, zero
+// without a route.
+func (g *Gateway) RewardEndpoints(call sesamepitch.RewardCall) int {
+	route, _ := g.rewardRoute(call)
 	endpoints := 0
 	for _, share := range route.Split {
 		endpoints += len(g.registry.Endpoints(share.Service))
 	}
-	return sesamepitch.RewardRoute{MaxAttempts: route.MaxAttempts, LatencyTarget: route.LatencyTarget, Endpoints: endpoints}, true
+	return endpoints
 }
 
 func (g *Gateway) rewardRoute(call sesamepitch.RewardCall) (registry.Route, bool) {
--- a/src/reward/reward.go
+++ b/src/reward/reward.go
@@ -120,8 +120,8 @@
 }
 
 // IsHopeless reports whether the call may be given up: it has failed as often as
-// its route allows, at more than one endpoint if there are several.
-func (c *Call) IsHopeless(route sesamepitch.RewardRoute) bool {
+// its route allows, at more than one endpoint if the service has several.
+func (c *Call) IsHopeless(route sesamepitch.RewardRoute, endpoints int) bool {
 	allowed := max(route.MaxAttempts, 1)
 	if len(c.failedAt) < allowed {
 		return false
@@ -129,7 +129,7 @@
 	distinct := slices.Clone(c.failedAt)
 	slices.Sort(distinct)
 	distinct = slices.Compact(distinct)
-	return len(distinct) >= min(minFailedEndpoints, route.Endpoints) || len(c.failedAt) >= oneSidedFactor*allowed
+	return len(distinct) >= min(minFailedEndpoints, endpoints) || len(c.failedAt) >= oneSidedFactor*allowed
 }
 
 // Priority orders waiting calls.
--- a/src/reward/reward_test.go
+++ b/src/reward/reward_test.go
@@ -86,7 +86,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			call := Call{failedAt: c.failedAt}
-			assert.Equal(t, call.IsHopeless(sesamepitch.RewardRoute{MaxAttempts: 4, Endpoints: c.endpoints}), c.hopeless)
+			assert.Equal(t, call.IsHopeless(sesamepitch.RewardRoute{MaxAttempts: 4}, c.endpoints), c.hopeless)
 		})
 	}
 }
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -97,8 +97,6 @@
 	MaxAttempts int
 	// LatencyTarget is the time in which answers are expected; zero if not set.
 	LatencyTarget time.Duration
-	// Endpoints is the number of endpoints that may get the call.
-	Endpoints int
 }
 
 // RewardTry is a reward call with the endpoint chosen for it. It counts as
@@ -116,6 +114,8 @@
 type RewardCaller interface {
 	// RewardRoute returns the route of a call, and whether there is one.
 	RewardRoute(call RewardCall) (RewardRoute, bool)
+	// RewardEndpoints returns the number of endpoints that may get a call.
+	RewardEndpoints(call RewardCall) int
 	// ReserveReward chooses an endpoint for a call. The endpoints in excluded are not
 	// chosen, those in avoided only if there is no other. Errors are of the kinds
 	// KindNotFound (no route) and KindUnavailable (no endpoint may get it now).
