One window of last values; medians are kept, not sorted anew at each look

The ring of 64 values and its minimum stood in src/latency and in src/driver/length.go: src/recent serves both. lengthModel sorted 64 ratios for each comparison of two items that wait, and Window.Patience 64 latencies for each reward call under way at each step: both are worked out when a value is added.

--- a/src/driver/engine_test.go
+++ b/src/driver/engine_test.go
@@ -39,7 +39,7 @@
 // testTokensPerEvent is the ratio of testLengths.
 const testTokensPerEvent = 59
 
-func testLengths() *lengthModel { return &lengthModel{initial: testTokensPerEvent} }
+func testLengths() *lengthModel { return &lengthModel{tokensPerEvent: testTokensPerEvent} }
 
 func setEventTime(e *engine, eventTime time.Duration) {
 	for range minEventSamples + 40 {
--- a/src/latency/latency_test.go
+++ b/src/latency/latency_test.go
@@ -15,7 +15,7 @@
 		var window Window
 		assert.Equal(t, window.Patience(time.Second, minimum), time.Second)
 		assert.Equal(t, window.Patience(0, minimum), minimum)
-		for range 2 * windowSize {
+		for range 128 {
 			window.Observe(usual)
 		}
 		window.Observe(20 * usual)
