An item isn't given up while its reward call has no route

Cause: a call that failed once after its route was removed was judged by an empty route, which allows one failure and has no endpoints: the item became dead, though only max_attempts failures allow that. Found when the change was read once more; ruled out: a route that is merely changed, it is judged as configured then. Change: without a route nothing is given up; the item waits. TestRewardRouteRemovedUnderWay failed first ('dead').

--- a/src/driver/scoring.go
+++ b/src/driver/scoring.go
@@ -147,8 +147,8 @@
 func (s *session) handleRewardFailure(t *task, endpoint string, now time.Time, err error) {
 	call := &t.scoring.call
 	call.Fail(endpoint, sesamepitch.KindOf(err), now)
-	route, _ := s.rewards.RewardRoute(*t.item.Reward)
-	hopeless := call.IsHopeless(route, s.rewards.RewardEndpoints(*t.item.Reward))
+	route, found := s.rewards.RewardRoute(*t.item.Reward)
+	hopeless := found && call.IsHopeless(route, s.rewards.RewardEndpoints(*t.item.Reward))
 	s.log.Info("reward call failed", "job", t.job.ID, "item", t.item.ID, "call", t.item.Reward.ID, "endpoint", endpoint,
 		"sends", call.Sent(), "failures", call.Failures(), "kind", string(sesamepitch.KindOf(err)), "cause", causeOf(err), "given_up", hopeless)
 	if hopeless {
--- a/src/driver/scoring_test.go
+++ b/src/driver/scoring_test.go
@@ -50,10 +50,20 @@
 func (r *fakeRewards) RewardRoute(sesamepitch.RewardCall) (sesamepitch.RewardRoute, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return sesamepitch.RewardRoute{MaxAttempts: 4, LatencyTarget: 100 * time.Millisecond}, !r.noRoute
+	if r.noRoute {
+		return sesamepitch.RewardRoute{}, false
+	}
+	return sesamepitch.RewardRoute{MaxAttempts: 4, LatencyTarget: 100 * time.Millisecond}, true
 }
 
-func (r *fakeRewards) RewardEndpoints(sesamepitch.RewardCall) int { return len(r.endpoints) }
+func (r *fakeRewards) RewardEndpoints(sesamepitch.RewardCall) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.noRoute {
+		return 0
+	}
+	return len(r.endpoints)
+}
 
 func (r *fakeRewards) ReserveReward(call sesamepitch.RewardCall, excluded, avoided []string) (sesamepitch.RewardTry, error) {
 	r.mu.Lock()
@@ -77,6 +87,13 @@
 	return &fakeTry{rewards: r, call: call, endpoint: endpoint}, nil
 }
 
+// removeRoute removes the route of all calls, or sets it again.
+func (r *fakeRewards) removeRoute(removed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.noRoute = removed
+}
+
 func (r *fakeRewards) sendsOf(call string) []rewardSend {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -260,12 +277,7 @@
 func TestRewardRouteRemoved(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, 2)
-	setRoute := func(removed bool) {
-		f.rewards.mu.Lock()
-		defer f.rewards.mu.Unlock()
-		f.rewards.noRoute = removed
-	}
-	setRoute(true)
+	f.rewards.removeRoute(true)
 	f.startDriver("a")
 	f.submitScored("j", "x")
 	eventually(t, func() bool {
@@ -273,10 +285,28 @@
 		return err == nil && checkpoints[0].Complete
 	})
 	assert.Equal(t, len(f.rewards.sendsOf("r-x")), 0)
-	setRoute(false)
+	f.rewards.removeRoute(false)
 	assert.Assert(t, f.results("j", 1, 4*time.Second)["x"].Score != "")
 }
 
+// TestRewardRouteRemovedUnderWay removes the route while the call is under way and
+// fails: without a route nothing says how often it may fail, so the item waits and
+// is scored once there is a route again.
+func TestRewardRouteRemovedUnderWay(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 2)
+	f.rewards.scripts["r-x"] = []rewardScript{{after: 300 * time.Millisecond, err: failure{sesamepitch.KindFailed, nil}}, {}}
+	f.startDriver("a")
+	f.submitScored("j", "x")
+	eventually(t, func() bool { return len(f.rewards.sendsOf("r-x")) == 1 })
+	f.rewards.removeRoute(true)
+	time.Sleep(600 * time.Millisecond)
+	f.rewards.removeRoute(false)
+	result := f.results("j", 1, 4*time.Second)["x"]
+	assert.Equal(t, result.State, batch.Done)
+	assert.Assert(t, result.Score != "")
+}
+
 // TestRewardOfResubmittedItem submits the items of an ended job's incomplete group
 // again: a known score is used for the same call, and a new call is sent for
 // another one.
