--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"net/rpc"
 	"strings"
 	"sync"
 	"testing"
@@ -15,7 +13,6 @@
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 	"sesamepitch/src/driver"
-	"sesamepitch/src/peer"
 	"sesamepitch/src/registry"
 	"sesamepitch/src/standin"
 
@@ -23,157 +20,6 @@
 	"gotest.tools/v3/assert"
 )
 
-// decoder has one route and one service with engines that hold one model.
-type decoder struct{}
-
-func (decoder) Config(sesamepitch.Row) (*registry.Config, error) {
-	return registry.NewConfig(registry.Config{
-		Version: 1,
-		Routes: []registry.Route{{
-			Name: "train", Host: "h", Prefix: "/p/", Kind: registry.Rollout, MaxAttempts: 2,
-			Split: []registry.Share{{Service: "lm", Weight: 1}}, QueueTTL: 20 * time.Second, ResultDeadline: 5 * time.Second,
-		}},
-		Services: map[string]registry.Service{"lm": {Name: "lm", Models: []string{"coach"}}},
-	}), nil
-}
-
-func (decoder) Endpoint(row sesamepitch.Row, _ time.Time) (registry.Endpoint, error) {
-	id := row.Name()
-	return registry.Endpoint{ID: id, Address: id, Service: "lm", Centre: "dc", Slots: 4, Versions: map[string]int64{"coach": 1}}, nil
-}
-
-func (decoder) Operation(row sesamepitch.Row) registry.Operation {
-	if strings.HasSuffix(row.Key, "config") {
-		return registry.Operation{Kind: registry.OperationConfig}
-	}
-	return registry.Operation{Kind: registry.OperationVersion, Model: "coach", Version: row.Version}
-}
-
-// fakeEngines are engines in memory. Each item has a list of scripts, one for
-// each of its runs; the last one is repeated.
-type fakeEngines struct {
-	mu         sync.Mutex
-	scripts    map[string][]script
-	runs       map[string][]int64
-	running    map[string]int
-	versions   map[string]int64
-	loads      int
-	maxRunning int
-	// padding is appended to the data of events.
-	padding string
-	// orders counts the accepted orders by engine; an order that names another
-	// count is refused. The first uncounted orders are accepted without being
-	// counted, like repeats of an order in progress.
-	orders    map[string]int64
-	uncounted int
-	refused   int
-}
-
-// script is what one run does: it generates events up to last and ends with
-// err, ErrComplete for a complete output. A start error is returned before any
-// event.
-type script struct {
-	start     error
-	last      int64
-	err       error
-	eventTime time.Duration
-}
-
-const outputEvents = 6
-
-var complete = script{last: outputEvents, err: sesamepitch.ErrComplete}
-
-func newFakeEngines() *fakeEngines {
-	return &fakeEngines{scripts: map[string][]script{}, runs: map[string][]int64{}, running: map[string]int{}, versions: map[string]int64{}, orders: map[string]int64{}}
-}
-
-// failure is an error with a kind.
-type failure struct {
-	kind sesamepitch.Kind
-	err  error
-}
-
-func (f failure) Error() string               { return string(f.kind) }
-func (f failure) Unwrap() error               { return f.err }
-func (f failure) ErrorKind() sesamepitch.Kind { return f.kind }
-
-func (e *fakeEngines) Generate(ctx context.Context, to sesamepitch.Destination, sample sesamepitch.Sample) (sesamepitch.Generation, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	run := len(e.runs[sample.ID])
-	e.runs[sample.ID] = append(e.runs[sample.ID], sample.After)
-	todo := complete
-	if scripts := e.scripts[sample.ID]; len(scripts) > 0 {
-		todo = scripts[min(run, len(scripts)-1)]
-	}
-	if todo.start != nil {
-		return nil, todo.start
-	}
-	e.running[to.ID]++
-	e.maxRunning = max(e.maxRunning, e.running[to.ID])
-	return &fakeGeneration{engines: e, ctx: ctx, to: to.ID, id: sample.ID, script: todo, next: sample.After + 1, version: max(e.versions[to.ID], 1)}, nil
-}
-
-func (e *fakeEngines) Order(_ context.Context, to sesamepitch.Destination, order sesamepitch.WeightOrder) (bool, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if order.After != e.orders[to.ID] {
-		e.refused++
-		return false, failure{sesamepitch.KindConflict, errors.New("order names another count")}
-	}
-	e.loads++
-	e.versions[to.ID] = order.Version
-	if e.uncounted > 0 {
-		e.uncounted--
-		return false, nil
-	}
-	e.orders[to.ID]++
-	return false, nil
-}
-
-func (e *fakeEngines) Report(_ context.Context, to sesamepitch.Destination) (sesamepitch.EngineReport, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return sesamepitch.EngineReport{Versions: map[string]int64{"coach": max(e.versions[to.ID], 1)}, Orders: e.orders[to.ID]}, nil
-}
-
-func (e *fakeEngines) runsOf(item string) []int64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]int64(nil), e.runs[item]...)
-}
-
-type fakeGeneration struct {
-	engines *fakeEngines
-	ctx     context.Context
-	to, id  string
-	script  script
-	next    int64
-	version int64
-}
-
-func (g *fakeGeneration) Version() int64 { return g.version }
-
-func (g *fakeGeneration) Next() (sesamepitch.Event, error) {
-	select {
-	case <-time.After(g.script.eventTime):
-	case <-g.ctx.Done():
-		return sesamepitch.Event{}, failure{sesamepitch.KindCrashed, g.ctx.Err()}
-	}
-	if g.next > g.script.last {
-		return sesamepitch.Event{}, g.script.err
-	}
-	event := sesamepitch.Event{ID: g.next, Data: fmt.Sprintf("%s-%d", g.id, g.next) + g.engines.padding, Version: g.version}
-	g.next++
-	return event, nil
-}
-
-func (g *fakeGeneration) Close() {
-	g.engines.mu.Lock()
-	defer g.engines.mu.Unlock()
-	g.engines.running[g.to]--
-}
-
 // fixture is a store with everything that a driver needs.
 type fixture struct {
 	t        *testing.T
@@ -379,13 +225,6 @@
 	t.Fatal("condition not met in time")
 }
 
-// unreachablePeers fails each call as unavailable.
-type unreachablePeers struct{}
-
-func (unreachablePeers) Call(context.Context, string, string, any, any) error {
-	return failure{sesamepitch.KindUnavailable, nil}
-}
-
 // TestRepeatedOrder makes an engine accept an order without counting it, as it
 // does with a repeat of an order in progress. The engine must still accept the
 // order for the next version.
@@ -402,90 +241,6 @@
 	}
 }
 
-// TestHint disables the change feed: jobs are taken over and ended by hints
-// alone, and a late hint does not restart an ended job.
-func TestHint(t *testing.T) {
-	t.Parallel()
-	f := newFixture(t, 1)
-	f.disableFeed()
-	d := f.newDriver("a", "")
-	hinter := driver.NewHinter(sesamepitch.SystemClock{}, logr.Discard(), d, unreachablePeers{})
-	ctx, cancel := context.WithCancel(context.Background())
-	stopped := make(chan error, 2)
-	go func() { stopped <- d.Run(ctx) }()
-	go func() { stopped <- hinter.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-stopped
-		<-stopped
-	})
-	f.submit("j", 1, "x")
-	f.engines.scripts["z"] = []script{{last: 100, eventTime: 100 * time.Millisecond}}
-	f.submit("endless", 1, "z")
-	notify := func(id string, ended bool) {
-		header, err := f.ledger.Header(ctx, id)
-		assert.NilError(t, err)
-		header.Ended = ended
-		hinter.Notify(header)
-	}
-	// Hints are ignored until the driver holds its lease.
-	eventually(t, func() bool {
-		notify("j", false)
-		notify("endless", false)
-		return len(f.engines.runsOf("z")) > 0
-	})
-	assert.Equal(t, f.results("j", 1, 3*time.Second)["x"].Output, outputOf("x"))
-	notify("endless", true)
-	notify("endless", false)
-	time.Sleep(time.Second)
-	assert.Equal(t, len(f.engines.runsOf("z")), 1)
-	f.engines.mu.Lock()
-	defer f.engines.mu.Unlock()
-	assert.Equal(t, f.engines.running["e0"], 0, "the ended job's run has ended")
-}
-
-// TestHintFromPeer accepts a job at an instance without the lease: the hint
-// reaches the driver by net/rpc, without the change feed.
-func TestHintFromPeer(t *testing.T) {
-	t.Parallel()
-	f := newFixture(t, 1)
-	f.disableFeed()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	drives, accepts := f.newDriver("a", listener.Addr().String()), f.newDriver("b", "")
-	server := rpc.NewServer()
-	assert.NilError(t, driver.Register(server, drives))
-	peers := peer.NewDialer("")
-	hinter := driver.NewHinter(sesamepitch.SystemClock{}, logr.Discard(), accepts, peers)
-	ctx, cancel := context.WithCancel(context.Background())
-	tasks := []func(context.Context) error{
-		func(ctx context.Context) error { return peers.Serve(ctx, listener, server) }, hinter.Run, drives.Run,
-	}
-	ended := make(chan error, len(tasks)+1)
-	for _, task := range tasks {
-		go func() { ended <- task(ctx) }()
-	}
-	t.Cleanup(func() {
-		cancel()
-		for range len(tasks) + 1 {
-			<-ended
-		}
-	})
-	eventually(t, func() bool {
-		row, err := f.store.Get(ctx, driver.LeaseKey)
-		return err == nil && row.Version > 0
-	})
-	go func() { ended <- accepts.Run(ctx) }()
-	f.submit("j", 1, "x")
-	header, err := f.ledger.Header(ctx, "j")
-	assert.NilError(t, err)
-	eventually(t, func() bool {
-		hinter.Notify(header)
-		return len(f.engines.runsOf("x")) > 0
-	})
-	assert.Equal(t, f.results("j", 1, 3*time.Second)["x"].Output, outputOf("x"))
-}
-
 // TestHandOver stops a driver in the middle of an output: the next driver
 // continues it.
 func TestHandOver(t *testing.T) {
