--- a/input_test.go
+++ b/input_test.go
@@ -191,6 +191,9 @@
 		}
 		wg.Wait()
 		assertServed("too many streams")
+		if refused.Load() < 8 {
+			c.logLines("queue", "refused", "request")
+		}
 		assert.Assert(t, refused.Load() >= 8, "%d of 10 refused; 2 were within the limit", refused.Load())
 		for _, s := range open {
 			s.cancel()
