Logs and metrics say what endpoints name as their limit, and what they got

Cause: the timelines couldn't tell three hypotheses apart; no line had an endpoint's limit, and only the last try of a caller's request had its endpoint. No decision changes: the gate in front of all requests to endpoints (src/ratelimit) counts, and remembers what answers say. The run's end says when its item may be placed again.

--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -114,7 +114,7 @@
 	l.mu.Lock()
 	l.ordered[loadOrder{model: order.model, version: order.version}]++
 	l.mu.Unlock()
-	to := sesamepitch.Destination{ID: e.entry.ID, Address: e.entry.Address}
+	to := sesamepitch.Destination{ID: e.entry.ID, Address: e.entry.Address, Born: e.entry.Born}
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
--- a/src/driver/run.go
+++ b/src/driver/run.go
@@ -75,7 +75,7 @@
 	s.log.Info("item placed", "job", t.job.ID, "item", t.item.ID, "group", t.item.Group, "engine", e.entry.ID,
 		"engine_row", e.entry.Revision, "running", e.running, "version", e.versions[t.job.Model],
 		"min_version", t.job.MinVersion, "after", len(t.output.events), "waited_ms", now.Sub(t.waitingSince).Milliseconds())
-	to := sesamepitch.Destination{ID: e.entry.ID, Address: e.entry.Address}
+	to := sesamepitch.Destination{ID: e.entry.ID, Address: e.entry.Address, Born: e.entry.Born}
 	sample := sesamepitch.Sample{
 		ID: t.item.ID, Host: t.job.Host, Path: t.item.Path, Headers: t.item.Headers, Body: t.item.Body,
 		Workspace: t.job.Workspace, After: int64(len(t.output.events)),
@@ -265,7 +265,7 @@
 	}
 	s.log.Info("run ended", "job", t.job.ID, "item", t.item.ID, "engine", e.entry.ID, "events", r.events, "why", r.endReason,
 		"kind", string(kind), "cause", causeOf(err), "failures", t.failures, "breaks", t.interruptions,
-		"ms", now.Sub(r.started).Milliseconds())
+		"ms", now.Sub(r.started).Milliseconds(), "next_run_in_ms", max(t.notBefore.Sub(now), 0).Milliseconds())
 }
 
 // retryAfterInterruptions returns the time of the next run of a task that may
--- a/src/gateway/dispatch.go
+++ b/src/gateway/dispatch.go
@@ -200,5 +200,5 @@
 func process(e registry.Endpoint) string { return fmt.Sprint(e.ID, "@", e.Born) }
 
 func destination(e registry.Endpoint) sesamepitch.Destination {
-	return sesamepitch.Destination{ID: e.ID, Address: e.Address}
+	return sesamepitch.Destination{ID: e.ID, Address: e.Address, Born: e.Born}
 }
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -24,6 +24,7 @@
 	"sesamepitch/src/lease"
 	"sesamepitch/src/peer"
 	"sesamepitch/src/quarantine"
+	"sesamepitch/src/ratelimit"
 	"sesamepitch/src/registry"
 	"sesamepitch/src/relay"
 	"sesamepitch/src/scaling"
@@ -67,23 +68,30 @@
 	Clock   sesamepitch.Clock
 	Store   sesamepitch.Store
 	Decoder registry.Decoder
-	Engines sesamepitch.Engines
-	Forward sesamepitch.Forwarder
+	// Connect returns the clients of endpoints, whose requests all pass the gate.
+	Connect func(gate sesamepitch.RequestGate) Endpoints
 	// OperatorTable and EndpointTable are the tables that Decoder decodes.
 	OperatorTable string
 	EndpointTable string
-	// Control and FencedCalls send through a transport that requires a lease.
-	Control     func(http.RoundTripper) sesamepitch.EngineControl
+	// FencedCalls sends through a transport that requires a lease.
 	FencedCalls func(http.RoundTripper) sesamepitch.FencedCalls
 	// Callers returns the handler of callers' requests, Ready that of readiness
 	// checks.
 	Callers func(*gateway.Gateway, *BodyBudget) http.Handler
 	Ready   func(func() bool) http.Handler
+	// Reload reads the settings again.
+	Reload func() (site.Settings, error)
+}
+
+// Endpoints are the clients of endpoints.
+type Endpoints struct {
+	Engines sesamepitch.Engines
+	Forward sesamepitch.Forwarder
+	// Control sends orders through a transport that requires a lease.
+	Control func(http.RoundTripper) sesamepitch.EngineControl
 	// RetainConnections closes idle connections to all endpoints except those at
 	// the addresses.
 	RetainConnections func(addresses map[string]bool)
-	// Reload reads the settings again.
-	Reload func() (site.Settings, error)
 }
 
 // Instance is an entry instance.
@@ -102,6 +110,8 @@
 	driver    *driver.Driver
 	hinter    *driver.Hinter
 	gateway   *gateway.Gateway
+	endpoints Endpoints
+	limits    *ratelimit.Limits
 	meter     *billing.Meter
 	reporter  *billing.Reporter
 	scaler    *scaling.Scaler
@@ -149,6 +159,8 @@
 // build creates the parts that serve callers and drive jobs.
 func (i *Instance) build() {
 	s := i.settings
+	i.limits = ratelimit.New(i.clock, i.log)
+	i.endpoints = i.adapter.Connect(i.limits)
 	i.metrics = newMetrics(i)
 	ledger := batch.NewLedger(i.clock, i.store, batch.WithRowBytes(s.RowBytes))
 	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers, s.Bounds.Lease)
@@ -158,8 +170,8 @@
 	calls := i.adapter.FencedCalls(guard)
 	i.scaler = scaling.New(i.clock, i.log, i.store, i.registry, calls, i.lease.ForFencedCalls(), s.Instance)
 	i.reporter = billing.NewReporter(i.clock, i.log, i.store, calls, i.lease.ForFencedCalls(), s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate, billing.WithChecks(i.checks))
-	i.gateway = gateway.New(i.clock, i.log, i.registry, i.adapter.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(func(header batch.Header) { i.hinter.Notify(header) }), gateway.WithConnectivity(i.isolation), gateway.WithFreshness(i.pauses.isFresh), gateway.WithQuarantine(i.suspects))
-	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.adapter.Engines, i.adapter.Control(guard), i.gateway, i.lease, s.Instance, i.members, driver.WithChecks(i.checks), driver.WithRetention(s.Bounds.Status), driver.WithRewardObserver(i.metrics.observeReward))
+	i.gateway = gateway.New(i.clock, i.log, i.registry, i.endpoints.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(func(header batch.Header) { i.hinter.Notify(header) }), gateway.WithConnectivity(i.isolation), gateway.WithFreshness(i.pauses.isFresh), gateway.WithQuarantine(i.suspects))
+	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.endpoints.Engines, i.endpoints.Control(guard), i.gateway, i.lease, s.Instance, i.members, driver.WithChecks(i.checks), driver.WithRetention(s.Bounds.Status), driver.WithRewardObserver(i.metrics.observeReward))
 	i.hinter = driver.NewHinter(i.clock, i.log, i.driver, i.peers)
 }
 
@@ -256,8 +268,9 @@
 		for _, e := range i.registry.All() {
 			addresses[e.Address] = true
 		}
-		i.adapter.RetainConnections(addresses)
+		i.endpoints.RetainConnections(addresses)
 		i.gateway.Prune()
+		i.limits.Retain(i.registry.All())
 	})
 }
 
--- a/src/instance/metrics.go
+++ b/src/instance/metrics.go
@@ -47,6 +47,11 @@
 	m.gauge("sesamepitch_endpoints", "Endpoints known.", func() float64 { return float64(len(i.registry.All())) })
 	m.gauge("sesamepitch_body_bytes", "Bytes of callers' bodies held.", func() float64 { return float64(i.memory.Held()) })
 	m.gauge("sesamepitch_log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(i.logWriter.Dropped()) })
+	m.gauge("sesamepitch_limited_endpoints", "Endpoints that name a rate limit.", func() float64 { return float64(i.limits.Named()) })
+	for _, purpose := range sesamepitch.Purposes {
+		m.counter("sesamepitch_endpoint_requests_total", "Requests to endpoints by purpose.", purpose, func() int { all, _ := i.limits.Sent(purpose); return all })
+		m.counter("sesamepitch_limited_endpoint_requests_total", "Requests to endpoints that name a rate limit, by purpose.", purpose, func() int { _, limited := i.limits.Sent(purpose); return limited })
+	}
 	for _, name := range invariant.Names {
 		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "sesamepitch_invariant_violations_total", Help: "Defects of this program, by invariant.",
@@ -56,6 +61,12 @@
 	return m
 }
 
+func (m *metrics) counter(name, help string, purpose sesamepitch.Purpose, value func() int) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: name, Help: help, ConstLabels: prometheus.Labels{"purpose": string(purpose)},
+	}, func() float64 { return float64(value()) }))
+}
+
 func (m *metrics) gauge(name, help string, value func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 }
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -12,8 +12,61 @@
 type Destination struct {
 	ID      string
 	Address string
+	// Born is the start time of the endpoint's process in Unix milliseconds: an
+	// endpoint may restart under its ID.
+	Born int64
 }
 
+// Purpose is what a request to an endpoint is for.
+type Purpose string
+
+// The purposes of requests to endpoints.
+const (
+	// PurposeRequest is a caller's request or a reward call.
+	PurposeRequest Purpose = "request"
+	// PurposeItem is a run of an item.
+	PurposeItem Purpose = "item"
+	// PurposeCheck is a health check.
+	PurposeCheck Purpose = "check"
+	// PurposeReport asks for an engine's state.
+	PurposeReport Purpose = "report"
+	// PurposeOrder is an order to load weights.
+	PurposeOrder Purpose = "order"
+)
+
+// Purposes lists all purposes.
+var Purposes = []Purpose{PurposeRequest, PurposeItem, PurposeCheck, PurposeReport, PurposeOrder}
+
+// StatedLimit is what an answer says of the endpoint's rate limit.
+type StatedLimit struct {
+	// Named is set if the answer names a limit.
+	Named bool
+	// PerSecond is the number of requests a second that the endpoint takes from all
+	// instances together.
+	PerSecond float64
+	// Malformed is the text of a limit that could not be read, which says nothing.
+	Malformed string
+}
+
+// RequestGate sees each request to an endpoint before it is sent, and the limit on
+// each answer.
+type RequestGate interface {
+	// Admit returns an error if the request must not be sent.
+	Admit(ctx context.Context, to Destination, purpose Purpose) error
+	// Answered records what the answer to a request sent at the given time says of
+	// the endpoint's limit.
+	Answered(to Destination, sent time.Time, limit StatedLimit)
+}
+
+// OpenGate is a RequestGate that admits all requests and records nothing.
+type OpenGate struct{}
+
+// Admit implements RequestGate.
+func (OpenGate) Admit(context.Context, Destination, Purpose) error { return nil }
+
+// Answered implements RequestGate.
+func (OpenGate) Answered(Destination, time.Time, StatedLimit) {}
+
 // Request is a caller's request to forward to an endpoint.
 type Request struct {
 	ID     string
