--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -383,3 +384,35 @@
 	assert.Assert(t, f.engines.maxRunning <= 4, "%d at once", f.engines.maxRunning)
 	assert.Assert(t, !errors.Is(sesamepitch.ErrComplete, io.EOF))
 }
+
+// TestItemNotPlacedAgainAfterCrashes crashes each engine that runs an item, before
+// its first event, more often than a burst of crashes can: once engines are sound
+// again the item is placed soon, also by another driver.
+func TestItemNotPlacedAgainAfterCrashes(t *testing.T) {
+	const crashes = 8
+	cases := []struct {
+		name     string
+		takeover bool
+	}{
+		{"one driver", false},
+		{"after a takeover", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 3)
+			crash := script{start: failure{sesamepitch.KindUnknown, errors.New("connection reset")}}
+			f.engines.scripts["x"] = append(slices.Repeat([]script{crash}, crashes), complete)
+			_, kill := f.startDriver("a")
+			f.submit("j", 1, "x")
+			if c.takeover {
+				eventually(t, func() bool { return len(f.engines.runsOf("x")) > 2 })
+				kill()
+				f.startDriver("b")
+			}
+			results := f.results("j", 1, 8*time.Second)
+			assert.Equal(t, results["x"].State, batch.Done)
+			assert.Equal(t, results["x"].Output, outputOf("x"))
+		})
+	}
+}
--- a/src/gateway/reward_test.go
+++ b/src/gateway/reward_test.go
@@ -128,3 +128,30 @@
 	_, err = g.ReserveReward(sesamepitch.RewardCall{Host: "nowhere", Path: "/"}, nil, nil)
 	assert.Equal(t, sesamepitch.KindOf(err), sesamepitch.KindNotFound)
 }
+
+// TestScoreNotAskedAgainAfterCrashes crashes each endpoint that runs a reward call:
+// once they are back the call is sent again, and callers' requests with the same
+// content are not suspected for it.
+func TestScoreNotAskedAgainAfterCrashes(t *testing.T) {
+	crashing := true
+	forward := &forwarder{answer: func(ctx context.Context, endpoint string) (sesamepitch.Answer, error) {
+		if crashing {
+			return failed(sesamepitch.KindUnknown)
+		}
+		return scored(ctx, endpoint)
+	}}
+	g := newGateway(forward, &meter{}, "a", "b", "c", "d")
+	for range 4 {
+		try, err := g.ReserveReward(rewardCall, nil, nil)
+		assert.NilError(t, err)
+		_, err = try.Send(context.Background())
+		assert.Assert(t, err != nil)
+	}
+	crashing = false
+	try, err := g.ReserveReward(rewardCall, nil, nil)
+	assert.NilError(t, err)
+	_, err = try.Send(context.Background())
+	assert.NilError(t, err)
+	quarantined, _ := g.quarantine.IsQuarantined(quarantine.Fingerprint("", rewardCall.Path, rewardCall.Body))
+	assert.Assert(t, !quarantined)
+}
