Items are placed again however often engines crashed under them

Callers saw: none yet here; a report of a similar system. An item whose runs broke off six times before an event was not placed again by this driver until its job expired, though engines were free. Cause: retryAfterInterruptions set the next run to the job's end, as if the item's content crashed engines. Items never do so by themselves; only their own answers of 500 or 422 may end them. The delays of 1, 2 and 4 s before that had the same ground. A new driver forgot the count, so what became of an item hung on takeovers. Change: the count is for the log only; nothing waits on it.

--- a/src/driver/run.go
+++ b/src/driver/run.go
@@ -25,14 +25,6 @@
 	slowEventFactor = 2
 	// failureRetryDelay is the time from a failed run to the task's next one.
 	failureRetryDelay = 30 * time.Millisecond
-	// suspiciousInterruptions is the number of runs without any event from
-	// which on a task waits longer each time, since its content may make
-	// engines crash.
-	suspiciousInterruptions = 3
-	interruptionBackoff     = time.Second
-	// maxInterruptions is the number of such runs after which a task gets no
-	// further one.
-	maxInterruptions = 6
 )
 
 // run is one generation of a task at an engine.
@@ -259,24 +251,12 @@
 			t.interruptions++
 			e.suspectedUntil = now.Add(suspectedTime)
 		}
-		if t.interruptions >= suspiciousInterruptions {
-			t.notBefore = t.retryAfterInterruptions(now)
-		}
 	}
 	s.log.Info("run ended", "job", t.job.ID, "item", t.item.ID, "engine", e.entry.ID, "events", r.events, "why", r.endReason,
 		"kind", string(kind), "cause", causeOf(err), "failures", t.failures, "breaks", t.interruptions,
 		"ms", now.Sub(r.started).Milliseconds(), "next_run_in_ms", max(t.notBefore.Sub(now), 0).Milliseconds())
 }
 
-// retryAfterInterruptions returns the time of the next run of a task that may
-// crash engines: never, once maxInterruptions is reached.
-func (t *task) retryAfterInterruptions(now time.Time) time.Time {
-	if t.interruptions >= maxInterruptions {
-		return t.job.expiresAt
-	}
-	return now.Add(interruptionBackoff << (t.interruptions - suspiciousInterruptions))
-}
-
 func causeOf(err error) string {
 	if err == nil {
 		return "none"
--- a/src/driver/task.go
+++ b/src/driver/task.go
@@ -28,9 +28,9 @@
 	// its events the table has.
 	attempt      int64
 	checkpointed int
-	// failures counts runs that the engine answered with a failure,
-	// interruptions the runs in a row that were interrupted before their first
-	// event.
+	// failures counts runs that the engine answered with a failure; only they can
+	// end an item. interruptions counts the runs in a row that were interrupted
+	// before their first event, for the log: the item is owed all the same.
 	failures      int
 	interruptions int
 	// stalls counts the runs in a row that were ended as stalled before an event.
