Reward calls are not refused because endpoints crashed under them

An item whose scoring endpoints crashed three times had no score, and so no result, until two minutes after the last crash: longer than its job is open. Cause: ReserveReward asked the quarantine, which is for contents that a caller sends again and that crash endpoints by themselves. Items handed in for later, and their calls, never do. Evidence: TestScoreNotAskedAgainAfterCrashes failed ('content is quarantined after crashing endpoints'). Change: a reward call has no content to suspect; it neither counts crashes nor is held back by them. Callers' requests are as before.

--- a/src/gateway/dispatch.go
+++ b/src/gateway/dispatch.go
@@ -18,7 +18,8 @@
 	request   sesamepitch.Request
 	service   string
 	// content is the fingerprint of the request's content, crashes the number of
-	// endpoints that content is known to have crashed.
+	// endpoints that content is known to have crashed. It is empty for a reward call,
+	// which is not suspected.
 	content  string
 	crashes  int
 	start    time.Time
@@ -159,6 +160,9 @@
 
 // isQuarantined reports whether the content is quarantined, and updates crashes.
 func (d *dispatch) isQuarantined() bool {
+	if d.content == "" {
+		return false
+	}
 	quarantined, crashes := d.gateway.quarantine.IsQuarantined(d.content)
 	d.crashes = crashes
 	return quarantined
@@ -169,6 +173,7 @@
 // content.
 func (d *dispatch) reportContent(ctx context.Context, err error) {
 	switch kind := sesamepitch.KindOf(err); {
+	case d.content == "":
 	case kind == "" && d.crashes > 0:
 		d.gateway.quarantine.RecordAnswer(d.content)
 	case (kind == sesamepitch.KindCrashed || kind == sesamepitch.KindUnknown) && ctx.Err() == nil:
--- a/src/gateway/reward.go
+++ b/src/gateway/reward.go
@@ -53,9 +53,7 @@
 	d := g.newDispatch(Admission{Route: route}, sesamepitch.Request{
 		ID: call.ID, Method: http.MethodPost, Host: call.Host, URI: call.Path, Header: http.Header{}, Body: call.Body,
 	})
-	if d.isQuarantined() {
-		return nil, &Error{Op: "reward", Kind: sesamepitch.KindUnavailable, Err: errQuarantined}
-	}
+	d.content = "" // an item's call is never one that crashes endpoints by itself
 	endpoint, found := g.choose(choice{
 		service: d.service, route: route, tried: setOf(excluded), avoided: setOf(avoided), slotShare: rewardSlotShare,
 	})
--- a/src/reward/reward.go
+++ b/src/reward/reward.go
@@ -20,7 +20,7 @@
 	// unsentBackoff is the delay after no endpoint was reached.
 	unsentBackoff = 30 * time.Millisecond
 	// A call that may have run and was not answered waits for lostBackoff, doubled
-	// each time up to maxLostBackoff: its content may crash endpoints.
+	// each time up to maxLostBackoff: the endpoints may be down.
 	lostBackoff    = 50 * time.Millisecond
 	maxLostBackoff = time.Second
 	// minFailedEndpoints is the number of endpoints that must have failed a call
