Requests to an endpoint keep to the rate that it names, summed over all instances

Cause: no code read the limit. Its class: a bound over all instances that each instance keeps, or does not keep, by itself. Change: src/ratelimit. The holder of the driver lease grants each request to a limited endpoint from one budget (the rate, and a burst of two and a tenth of a second's worth); the others ask it by net/rpc. While it can't be reached an instance sends in time slots of its own, which together are two fifths of the rate: 1.4 times the rate and 3 requests at most, 1.5 times and 5 are allowed. What an endpoint says goes to the granter, and from its member row to all. One gate stands before every request to endpoints (tries, items, reward calls, checks, reports, orders), and refuses what was not admitted. Placement leaves out what takes nothing now; what fits nowhere within half its aim is refused at once with the budget's time; orders and polls of engines go before items. Ruled out: a constant share for each instance (a request each: 16 or 73 in 4 s), and shares by use (starve the first request elsewhere).

--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -71,6 +71,7 @@
 	engines     sesamepitch.Engines
 	control     sesamepitch.EngineControl
 	rewards     sesamepitch.RewardCaller
+	limits      sesamepitch.RateLimiter
 	lease       *lease.Lease
 	instance    string
 	eligibility Eligibility
@@ -108,6 +109,12 @@
 	return func(driver *Driver) { driver.retention = d }
 }
 
+// WithRateLimiter sets what admits requests to engines whose rate is limited;
+// without it none is.
+func WithRateLimiter(limits sesamepitch.RateLimiter) Option {
+	return func(d *Driver) { d.limits = limits }
+}
+
 // RewardObserver receives the kind of error of a reward call's try, empty for a
 // score, and the time that the try took.
 type RewardObserver func(kind sesamepitch.Kind, latency time.Duration)
@@ -122,8 +129,8 @@
 	d := &Driver{
 		clock: clock, log: log, store: store, ledger: ledger, registry: reg, engines: engines, control: control, rewards: rewards,
 		lease: l, instance: instance, eligibility: eligibility, retention: defaultRetention,
-		observeReward: func(sesamepitch.Kind, time.Duration) {},
-		leaving:       make(chan struct{}), left: make(chan struct{}),
+		observeReward: func(sesamepitch.Kind, time.Duration) {}, limits: sesamepitch.OpenGate{},
+		leaving: make(chan struct{}), left: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(d)
@@ -304,8 +311,8 @@
 func (d *Driver) start(ctx context.Context, epoch int64) *activeSession {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
-		clock: d.clock, log: d.log, ledger: d.ledger, registry: d.registry, engines: d.engines, rewards: d.rewards, observeReward: d.observeReward,
-		loader: newLoader(d.clock, d.log, d.control, d.lease.ForFencedCalls(), d.instance, epoch, d.checks),
+		clock: d.clock, log: d.log, ledger: d.ledger, registry: d.registry, engines: d.engines, rewards: d.rewards, limits: d.limits, observeReward: d.observeReward,
+		loader: newLoader(d.clock, d.log, d.control, d.limits, d.lease.ForFencedCalls(), d.instance, epoch, d.checks),
 		checks: d.checks, holder: d.instance, epoch: epoch, wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, engineStates: map[string]*engine{}, assigned: map[string]string{}, lags: map[string]lag{}, lengths: map[string]*lengthModel{},
 		cache: newOutputCache(), takenOver: map[string]bool{}, ended: map[string]bool{}, headers: map[string]batch.Header{}, retention: d.retention,
--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -53,10 +53,10 @@
 func (eligible) IsAged() bool   { return false }
 
 // newDriver returns the driver of an instance that peers reach at address.
-func (f *fixture) newDriver(instance, address string) *driver.Driver {
+func (f *fixture) newDriver(instance, address string, options ...driver.Option) *driver.Driver {
 	clock := sesamepitch.SystemClock{}
 	driverLease := driver.NewLease(clock, f.store, instance, address, 3*time.Second)
-	return driver.New(clock, logr.Discard(), f.store, f.ledger, f.registry, f.engines, f.engines, f.rewards, driverLease, instance, eligible{})
+	return driver.New(clock, logr.Discard(), f.store, f.ledger, f.registry, f.engines, f.engines, f.rewards, driverLease, instance, eligible{}, options...)
 }
 
 // disableFeed makes the store refuse its change feed.
@@ -72,7 +72,12 @@
 // startDriver runs an instance's driver. kill stops it at once; leave starts a
 // handover.
 func (f *fixture) startDriver(instance string) (leave, kill func()) {
-	d := f.newDriver(instance, "")
+	return f.startDriverWith(instance)
+}
+
+// startDriverWith is startDriver with options.
+func (f *fixture) startDriverWith(instance string, options ...driver.Option) (leave, kill func()) {
+	d := f.newDriver(instance, "", options...)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(ctx) }()
--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/registry"
 )
 
@@ -67,6 +68,8 @@
 	// misses counts connection failures and stalls since the last event.
 	misses          int
 	overloadedUntil time.Time
+	// limitedUntil is when the engine's rate may allow another item.
+	limitedUntil time.Time
 	// eventTime is the moving average of the time between events, over
 	// eventSamples events.
 	eventTime    time.Duration
@@ -84,6 +87,11 @@
 // maxPrompts bounds the prompts remembered for an engine.
 const maxPrompts = 64
 
+// destination returns where the engine's requests go.
+func (e *engine) destination() sesamepitch.Destination {
+	return sesamepitch.Destination{ID: e.entry.ID, Address: e.entry.Address, Born: e.entry.Born}
+}
+
 func newEngine(entry registry.Endpoint) *engine {
 	e := &engine{}
 	e.reset(entry)
@@ -193,7 +201,7 @@
 	switch {
 	case !e.listed || e.entry.Draining || e.entry.Service != req.service || !e.entry.LeavesAt.IsZero():
 		return false
-	case e.running >= e.entry.Slots || now.Before(e.overloadedUntil) || now.Before(e.suspectedUntil):
+	case e.running >= e.entry.Slots || now.Before(e.overloadedUntil) || now.Before(e.suspectedUntil) || now.Before(e.limitedUntil):
 		return false
 	case version < req.minVersion || req.exact > 0 && version != req.exact:
 		return false
--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -34,6 +35,12 @@
 	orderRetryDelay = 1500 * time.Millisecond
 	// maxReportAge is the greatest age of an engine's report.
 	maxReportAge = 600 * time.Millisecond
+	// controlPatience is how long an order or a poll may wait for an engine's rate to
+	// allow it: it goes before items, which need the weights.
+	controlPatience = 1500 * time.Millisecond
+	// limitedPollFactor times the mean time between two requests that an engine's
+	// rate allows is the least time between polls, so that items get the rest.
+	limitedPollFactor = 4
 	// closedConnectionTime is the time within which an order fails on a
 	// kept-alive connection that the engine had closed.
 	closedConnectionTime = 150 * time.Millisecond
@@ -46,6 +53,7 @@
 	clock   sesamepitch.Clock
 	log     logr.Logger
 	control sesamepitch.EngineControl
+	limits  sesamepitch.RateLimiter
 	lease   sesamepitch.LeaseHolder
 	holder  string
 	epoch   int64
@@ -76,8 +84,8 @@
 	return l.loadTime
 }
 
-func newLoader(clock sesamepitch.Clock, log logr.Logger, control sesamepitch.EngineControl, lease sesamepitch.LeaseHolder, holder string, epoch int64, checks *invariant.Recorder) *loader {
-	return &loader{clock: clock, log: log, control: control, lease: lease, holder: holder, epoch: epoch, checks: checks, ordered: map[loadOrder]int{}, loadTime: initialLoadTime}
+func newLoader(clock sesamepitch.Clock, log logr.Logger, control sesamepitch.EngineControl, limits sesamepitch.RateLimiter, lease sesamepitch.LeaseHolder, holder string, epoch int64, checks *invariant.Recorder) *loader {
+	return &loader{clock: clock, log: log, control: control, limits: limits, lease: lease, holder: holder, epoch: epoch, checks: checks, ordered: map[loadOrder]int{}, loadTime: initialLoadTime}
 }
 
 // orderCounts returns how many loads of each model's newest version were
@@ -114,7 +122,7 @@
 	l.mu.Lock()
 	l.ordered[loadOrder{model: order.model, version: order.version}]++
 	l.mu.Unlock()
-	to := sesamepitch.Destination{ID: e.entry.ID, Address: e.entry.Address, Born: e.entry.Born}
+	to := e.destination()
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
@@ -169,7 +177,7 @@
 func (l *loader) execute(ctx context.Context, s *session, e *engine, to sesamepitch.Destination, order loadOrder) bool {
 	started := l.clock.Now()
 	if _, known := s.acceptedOrders(e); !known {
-		report, err := l.control.Report(ctx, to)
+		report, err := l.report(ctx, to)
 		if err != nil {
 			l.log.Info("engine report not available", "engine", to.ID, "cause", err.Error())
 			return false
@@ -179,19 +187,23 @@
 	var sent delivery
 	for l.clock.Now().Sub(started) < loadTimeout && ctx.Err() == nil {
 		if sent.isDue(l.clock.Now()) {
+			admitted, found := l.admit(ctx, to)
+			if !found {
+				return false
+			}
 			if !l.mayOrder() {
 				return false
 			}
-			if holds := l.deliver(ctx, s, e, to, order, &sent); holds {
+			if holds := l.deliver(ctx, s, e, admitted, order, &sent); holds {
 				return true
 			}
 		}
-		l.wait(ctx, sent.pollDelay(l.clock.Now()))
+		l.wait(ctx, max(sent.pollDelay(l.clock.Now()), limitedPollFactor*l.limits.Interval(to)))
 		if s.isLoaded(e, order) {
 			l.log.Info("weights loaded", "engine", to.ID, "model", order.model, "version", order.version, "by", "item")
 			return true
 		}
-		report, err := l.control.Report(ctx, to)
+		report, err := l.report(ctx, to)
 		if err != nil {
 			l.log.Info("engine report not available", "engine", to.ID, "cause", err.Error())
 			continue
@@ -209,6 +221,28 @@
 	return false
 }
 
+// admit returns the destination of a control request that the engine's rate allows,
+// and whether there is one within controlPatience.
+func (l *loader) admit(ctx context.Context, to sesamepitch.Destination) (sesamepitch.Destination, bool) {
+	retryIn, admitted := l.limits.Take(ctx, to, controlPatience)
+	if !admitted {
+		l.log.Info("engine's rate allows no control request", "engine", to.ID, "retry_in_ms", retryIn.Milliseconds())
+	}
+	to.Admitted = admitted
+	return to, admitted
+}
+
+// report requests an engine's state.
+func (l *loader) report(ctx context.Context, to sesamepitch.Destination) (sesamepitch.EngineReport, error) {
+	to, admitted := l.admit(ctx, to)
+	if !admitted {
+		return sesamepitch.EngineReport{}, &Error{Op: "driver.report", Kind: sesamepitch.KindUnavailable, Err: errLimited}
+	}
+	return l.control.Report(ctx, to)
+}
+
+var errLimited = errors.New("the engine's rate allows no request now")
+
 // deliver sends an order once and records the outcome; holds reports that the
 // engine already has the weights.
 func (l *loader) deliver(ctx context.Context, s *session, e *engine, to sesamepitch.Destination, order loadOrder, sent *delivery) (holds bool) {
--- a/src/driver/run.go
+++ b/src/driver/run.go
@@ -50,7 +50,7 @@
 	endReason string
 }
 
-// startRun starts a run. The caller holds s.mu.
+// startRun starts a run that the engine's rate allows. The caller holds s.mu.
 func (s *session) startRun(ctx context.Context, t *task, e *engine) {
 	now := s.clock.Now()
 	ctx, cancel := context.WithCancel(ctx)
@@ -67,7 +67,8 @@
 	s.log.Info("item placed", "job", t.job.ID, "item", t.item.ID, "group", t.item.Group, "engine", e.entry.ID,
 		"engine_row", e.entry.Revision, "running", e.running, "version", e.versions[t.job.Model],
 		"min_version", t.job.MinVersion, "after", len(t.output.events), "waited_ms", now.Sub(t.waitingSince).Milliseconds())
-	to := sesamepitch.Destination{ID: e.entry.ID, Address: e.entry.Address, Born: e.entry.Born}
+	to := e.destination()
+	to.Admitted = true
 	sample := sesamepitch.Sample{
 		ID: t.item.ID, Host: t.job.Host, Path: t.item.Path, Headers: t.item.Headers, Body: t.item.Body,
 		Workspace: t.job.Workspace, After: int64(len(t.output.events)),
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -46,6 +46,7 @@
 	engines  sesamepitch.Engines
 	rewards  sesamepitch.RewardCaller
 	loader   *loader
+	limits   sesamepitch.RateLimiter
 	checks   *invariant.Recorder
 	holder   string
 	epoch    int64
@@ -261,12 +262,28 @@
 		if req.service == "" {
 			continue
 		}
-		if reserved != nil && reserved.fits(now, req) {
+		if reserved != nil && reserved.fits(now, req) && s.admit(reserved, now) {
 			s.startRun(ctx, t, reserved)
 			continue
 		}
-		if e := choose(s.engineStates, now, req); e != nil {
-			s.startRun(ctx, t, e)
+		for e := choose(s.engineStates, now, req); e != nil; e = choose(s.engineStates, now, req) {
+			if s.admit(e, now) {
+				s.startRun(ctx, t, e)
+				break
+			}
 		}
 	}
 }
+
+// maxLimitedTime bounds how long an engine is left out after its rate allowed no
+// item: its limit may end before.
+const maxLimitedTime = time.Second
+
+// admit reports whether an engine's rate allows an item now.
+func (s *session) admit(e *engine, now time.Time) bool {
+	retryIn, admitted := s.limits.TryTake(e.destination())
+	if !admitted {
+		e.limitedUntil = now.Add(min(max(retryIn, time.Millisecond), maxLimitedTime))
+	}
+	return admitted
+}
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,6 +37,8 @@
 	nextColdAt time.Time
 	// lastColdAt is when the endpoint was last seen cold.
 	lastColdAt time.Time
+	// limitedUntil is when the endpoint's rate may allow another request.
+	limitedUntil time.Time
 }
 
 // candidate is an endpoint with the properties that its cost depends on.
@@ -97,6 +100,10 @@
 	// may occupy; zero for no limit. A request with a limit waits for room rather
 	// than go to an avoided endpoint: one that fails at once always has room.
 	slotShare float64
+	// patience is how long the request may wait for an endpoint's rate to allow it;
+	// immediate requests ask no other instance about it either.
+	patience  time.Duration
+	immediate bool
 }
 
 // hasRoom reports whether an endpoint with this many running requests may get
@@ -129,7 +136,7 @@
 		}
 		state := g.stateOf(endpoint.ID)
 		avoided := now.Before(state.avoidUntil) || c.avoided[endpoint.ID]
-		if !c.hasRoom(endpoint, state.running) {
+		if !c.hasRoom(endpoint, state.running) || now.Before(state.limitedUntil) {
 			goodWithoutRoom = goodWithoutRoom || !avoided
 			continue
 		}
@@ -152,6 +159,53 @@
 	return best.endpoint, found
 }
 
+// maxLimitedTime bounds how long an endpoint is left out after its rate allowed no
+// request: its limit may end before.
+const maxLimitedTime = time.Second
+
+// acquire chooses an endpoint whose rate allows the request. Without one it waits
+// for the first that will within c.patience. If there is none, retryIn is the time
+// after which a request may be allowed, zero if it is not the rate that keeps it.
+func (g *Gateway) acquire(ctx context.Context, c choice) (endpoint registry.Endpoint, retryIn time.Duration, found bool) {
+	var soonest registry.Endpoint
+	for {
+		endpoint, found = g.choose(c)
+		if !found {
+			break
+		}
+		wait, admitted := g.admit(ctx, c, endpoint, 0)
+		if admitted {
+			return endpoint, 0, true
+		}
+		if retryIn == 0 || wait < retryIn {
+			soonest, retryIn = endpoint, wait
+		}
+	}
+	if retryIn == 0 || retryIn > c.patience {
+		return registry.Endpoint{}, retryIn, false
+	}
+	wait, admitted := g.admit(ctx, c, soonest, c.patience)
+	return soonest, wait, admitted
+}
+
+// admit asks whether an endpoint's rate allows a request within patience, and leaves
+// the endpoint out for a while if not.
+func (g *Gateway) admit(ctx context.Context, c choice, endpoint registry.Endpoint, patience time.Duration) (wait time.Duration, admitted bool) {
+	if c.immediate {
+		wait, admitted = g.limits.TryTake(destination(endpoint))
+	} else {
+		wait, admitted = g.limits.Take(ctx, destination(endpoint), patience)
+	}
+	if admitted {
+		return 0, true
+	}
+	wait = max(wait, time.Millisecond)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stateOf(endpoint.ID).limitedUntil = g.clock.Now().Add(min(wait, maxLimitedTime))
+	return wait, false
+}
+
 // mayServe reports whether a route's requests may be served in this region.
 func (g *Gateway) mayServe(route registry.Route) bool {
 	return len(route.Regions) == 0 || slices.Contains(route.Regions, g.region)
--- a/src/gateway/dispatch.go
+++ b/src/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -30,6 +31,9 @@
 	mayHaveRun   bool
 	tried        map[string]bool
 	lastEndpoint registry.Endpoint
+	// retryIn is the time after which an endpoint's rate may allow the request, zero
+	// if it was not the rate that kept the last try from being sent.
+	retryIn time.Duration
 }
 
 // try is one send of the request to an endpoint, and its outcome.
@@ -59,7 +63,7 @@
 	var failed sesamepitch.Answer
 	var cause error
 	for {
-		if ctx.Err() == nil && d.mayTry(running) && d.startTry(tryCtx, tries) {
+		if ctx.Err() == nil && d.mayTry(running) && d.startTry(tryCtx, tries, running) {
 			running++
 		}
 		if running == 0 {
@@ -104,10 +108,35 @@
 	return d.gateway.latencyOf(d.admission.Route.Name).Patience(initial, minPatience)
 }
 
+// acquire returns an endpoint for the next try. Only a request without any try under
+// way waits for an endpoint's rate to allow it.
+func (d *dispatch) acquire(ctx context.Context, running int) (registry.Endpoint, bool) {
+	c := choice{service: d.service, route: d.admission.Route, tried: d.tried}
+	if running == 0 {
+		c.patience = d.limitPatience()
+	}
+	endpoint, retryIn, found := d.gateway.acquire(ctx, c)
+	d.retryIn = retryIn
+	return endpoint, found
+}
+
+// limitPatience returns how long the request may wait for an endpoint's rate to
+// allow it: it still has to be answered in time.
+func (d *dispatch) limitPatience() time.Duration {
+	patience := d.admission.Route.LatencyTarget / 2
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if !d.deadline.IsZero() {
+		patience = min(patience, d.deadline.Sub(d.gateway.clock.Now())/2)
+	}
+	return patience
+}
+
 // startTry sends the request to another endpoint, and reports whether there is
 // one. The try's outcome is sent to tries.
-func (d *dispatch) startTry(ctx context.Context, tries chan<- try) bool {
-	endpoint, found := d.gateway.choose(choice{service: d.service, route: d.admission.Route, tried: d.tried})
+func (d *dispatch) startTry(ctx context.Context, tries chan<- try, running int) bool {
+	endpoint, found := d.acquire(ctx, running)
 	if !found {
 		return false
 	}
@@ -125,7 +154,7 @@
 	began := d.gateway.clock.Now()
 	var answer sesamepitch.Answer
 	err := supervisor.Guard(func() (err error) {
-		answer, err = d.gateway.forward.Forward(ctx, destination(endpoint), request)
+		answer, err = d.gateway.forward.Forward(ctx, admitted(endpoint), request)
 		return err
 	})
 	done(err)
@@ -194,16 +223,26 @@
 		return &Refusal{Kind: sesamepitch.KindUnavailable, Err: errQuarantined, After: retryQuarantined}
 	case cause == nil && !d.gateway.registry.Complete():
 		return &Refusal{Kind: sesamepitch.KindUnavailable, Err: errNoEndpointList, After: retrySoon}
+	case cause == nil && d.retryIn > 0:
+		// Spread, so that those who are refused now don't all come back at once.
+		return &Refusal{Kind: sesamepitch.KindUnavailable, Err: errLimited, After: d.retryIn + rand.N(d.retryIn)}
 	case cause == nil:
 		return &Refusal{Kind: sesamepitch.KindUnavailable, Err: errNoEndpoint, After: retryLater}
 	default:
-		return &Refusal{Kind: sesamepitch.KindUnavailable, Err: cause, After: retrySoon}
+		return &Refusal{Kind: sesamepitch.KindUnavailable, Err: cause, After: max(retrySoon, d.retryIn)}
 	}
 }
 
 // process names an endpoint's process: an endpoint may restart under its ID.
 func process(e registry.Endpoint) string { return fmt.Sprint(e.ID, "@", e.Born) }
 
+// admitted returns the destination of a request that the endpoint's rate allows.
+func admitted(e registry.Endpoint) sesamepitch.Destination {
+	to := destination(e)
+	to.Admitted = true
+	return to
+}
+
 func destination(e registry.Endpoint) sesamepitch.Destination {
 	return sesamepitch.Destination{ID: e.ID, Address: e.Address, Born: e.Born}
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -45,6 +45,7 @@
 	errNoRoute        = errors.New("no route matches the host and path")
 	errNoKey          = errors.New("missing or unknown API key")
 	errNoEndpoint     = errors.New("no endpoint available")
+	errLimited        = errors.New("the endpoints take no more requests now")
 	errDeadline       = errors.New("request deadline exceeded")
 	errQuarantined    = errors.New("content is quarantined after crashing endpoints")
 	errNotRollout     = errors.New("route does not accept batch jobs")
@@ -77,6 +78,7 @@
 	isFresh func() bool
 	// quarantine lists the contents that have crashed endpoints.
 	quarantine *quarantine.List
+	limits     sesamepitch.RateLimiter
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointState
@@ -121,6 +123,12 @@
 	return func(g *Gateway) { g.quarantine = list }
 }
 
+// WithRateLimiter sets what admits requests to endpoints whose rate is limited;
+// without it none is.
+func WithRateLimiter(limits sesamepitch.RateLimiter) Option {
+	return func(g *Gateway) { g.limits = limits }
+}
+
 // New returns a Gateway for an instance in a data centre of a region.
 func New(clock sesamepitch.Clock, log logr.Logger, reg *registry.Registry, forward sesamepitch.Forwarder, ledger *batch.Ledger, meter Meter, centre, region string, options ...Option) *Gateway {
 	g := &Gateway{
@@ -131,6 +139,7 @@
 		connectivity: reachable{},
 		isFresh:      func() bool { return true },
 		quarantine:   quarantine.New(clock),
+		limits:       sesamepitch.OpenGate{},
 	}
 	for _, option := range options {
 		option(g)
--- a/src/gateway/keepalive.go
+++ b/src/gateway/keepalive.go
@@ -41,7 +41,7 @@
 
 // nextKeepAlive returns the endpoint of a service whose connection was used last,
 // among those without running requests, and whether that connection is about to
-// reach its idle timeout.
+// reach its idle timeout. An endpoint with a limit has better requests to serve.
 func (g *Gateway) nextKeepAlive(service string) (registry.Endpoint, bool) {
 	var recent registry.Endpoint
 	var recentAt time.Time
@@ -51,7 +51,7 @@
 	defer g.mu.Unlock()
 	for _, endpoint := range endpoints {
 		state := g.stateOf(endpoint.ID)
-		if state.running > 0 || now.Sub(state.servedAt) > keepAliveWindow {
+		if state.running > 0 || now.Sub(state.servedAt) > keepAliveWindow || g.limits.Interval(destination(endpoint)) > 0 {
 			continue
 		}
 		if state.connUsedAt.After(recentAt) {
--- a/src/gateway/reward.go
+++ b/src/gateway/reward.go
@@ -54,9 +54,12 @@
 		ID: call.ID, Method: http.MethodPost, Host: call.Host, URI: call.Path, Header: http.Header{}, Body: call.Body,
 	})
 	d.content = "" // an item's call is never one that crashes endpoints by itself
-	endpoint, found := g.choose(choice{
-		service: d.service, route: route, tried: setOf(excluded), avoided: setOf(avoided), slotShare: rewardSlotShare,
+	endpoint, retryIn, found := g.acquire(context.Background(), choice{
+		service: d.service, route: route, tried: setOf(excluded), avoided: setOf(avoided), slotShare: rewardSlotShare, immediate: true,
 	})
+	if !found && retryIn > 0 {
+		return nil, &Error{Op: "reward", Kind: sesamepitch.KindUnavailable, Err: errLimited}
+	}
 	if !found {
 		return nil, &Error{Op: "reward", Kind: sesamepitch.KindUnavailable, Err: errNoEndpoint}
 	}
--- a/src/gateway/stream.go
+++ b/src/gateway/stream.go
@@ -25,14 +25,14 @@
 	request := d.request
 	request.Workspace = d.admission.Workspace
 	for d.mayTry(0) && !d.mayHaveRun {
-		endpoint, found := d.gateway.choose(choice{service: d.service, route: d.admission.Route, tried: d.tried})
+		endpoint, found := d.acquire(ctx, 0)
 		if !found {
 			break
 		}
 		d.tried[endpoint.ID] = true
 		done := d.gateway.trackRequest(endpoint)
 		began := d.gateway.clock.Now()
-		cause = d.gateway.forward.Stream(ctx, destination(endpoint), request, sink)
+		cause = d.gateway.forward.Stream(ctx, admitted(endpoint), request, sink)
 		done(cause)
 		d.record(ctx, try{endpoint: endpoint, began: began, err: cause})
 		if cause == nil {
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -111,7 +111,7 @@
 	hinter    *driver.Hinter
 	gateway   *gateway.Gateway
 	endpoints Endpoints
-	limits    *ratelimit.Limits
+	limits    *ratelimit.Gate
 	meter     *billing.Meter
 	reporter  *billing.Reporter
 	scaler    *scaling.Scaler
@@ -153,25 +153,29 @@
 	if err := driver.Register(i.rpc, i.driver); err != nil {
 		return nil, err
 	}
+	if err := ratelimit.Register(i.rpc, i.limits); err != nil {
+		return nil, err
+	}
 	return i, nil
 }
 
 // build creates the parts that serve callers and drive jobs.
 func (i *Instance) build() {
 	s := i.settings
-	i.limits = ratelimit.New(i.clock, i.log)
+	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers, s.Bounds.Lease)
+	i.limits = ratelimit.New(i.clock, i.log, ratelimit.NewStatements(i.clock, i.log), i.lease, i.members, i.peers)
+	i.members.ShareLimits(i.limits)
 	i.endpoints = i.adapter.Connect(i.limits)
 	i.metrics = newMetrics(i)
 	ledger := batch.NewLedger(i.clock, i.store, batch.WithRowBytes(s.RowBytes))
-	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers, s.Bounds.Lease)
 	guard := lease.NewTransport(i.lease, s.Source)
 	writer := s.Instance + "@" + i.clock.Now().Format("150405.000")
 	i.meter = billing.NewMeter(i.clock, i.log, i.store, s.Bounds.ReportWindow, writer)
 	calls := i.adapter.FencedCalls(guard)
 	i.scaler = scaling.New(i.clock, i.log, i.store, i.registry, calls, i.lease.ForFencedCalls(), s.Instance)
 	i.reporter = billing.NewReporter(i.clock, i.log, i.store, calls, i.lease.ForFencedCalls(), s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate, billing.WithChecks(i.checks))
-	i.gateway = gateway.New(i.clock, i.log, i.registry, i.endpoints.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(func(header batch.Header) { i.hinter.Notify(header) }), gateway.WithConnectivity(i.isolation), gateway.WithFreshness(i.pauses.isFresh), gateway.WithQuarantine(i.suspects))
-	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.endpoints.Engines, i.endpoints.Control(guard), i.gateway, i.lease, s.Instance, i.members, driver.WithChecks(i.checks), driver.WithRetention(s.Bounds.Status), driver.WithRewardObserver(i.metrics.observeReward))
+	i.gateway = gateway.New(i.clock, i.log, i.registry, i.endpoints.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(func(header batch.Header) { i.hinter.Notify(header) }), gateway.WithConnectivity(i.isolation), gateway.WithFreshness(i.pauses.isFresh), gateway.WithQuarantine(i.suspects), gateway.WithRateLimiter(i.limits))
+	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.endpoints.Engines, i.endpoints.Control(guard), i.gateway, i.lease, s.Instance, i.members, driver.WithChecks(i.checks), driver.WithRetention(s.Bounds.Status), driver.WithRewardObserver(i.metrics.observeReward), driver.WithRateLimiter(i.limits))
 	i.hinter = driver.NewHinter(i.clock, i.log, i.driver, i.peers)
 }
 
@@ -185,6 +189,7 @@
 		supervisor.NewWorker("members", i.members.Run),
 		supervisor.NewWorker("driver", i.driver.Run),
 		supervisor.NewWorker("hints", i.hinter.Run),
+		supervisor.NewWorker("limits", i.limits.Run),
 		supervisor.NewWorker("usage-flush", i.meter.Run),
 		supervisor.NewWorker("usage-reports", i.reporter.Run),
 		supervisor.NewWorker("endpoint-orders", i.scaler.Run),
@@ -264,13 +269,14 @@
 // drops the gateway's state of them.
 func (i *Instance) closeStaleConnections(ctx context.Context) error {
 	return supervisor.Every(ctx, i.clock, cleanupInterval, func(context.Context) {
-		addresses := map[string]bool{}
+		addresses, processes := map[string]bool{}, map[string]int64{}
 		for _, e := range i.registry.All() {
 			addresses[e.Address] = true
+			processes[e.ID] = e.Born
 		}
 		i.endpoints.RetainConnections(addresses)
 		i.gateway.Prune()
-		i.limits.Retain(i.registry.All())
+		i.limits.Retain(processes)
 	})
 }
 
--- a/src/instance/metrics.go
+++ b/src/instance/metrics.go
@@ -47,10 +47,11 @@
 	m.gauge("sesamepitch_endpoints", "Endpoints known.", func() float64 { return float64(len(i.registry.All())) })
 	m.gauge("sesamepitch_body_bytes", "Bytes of callers' bodies held.", func() float64 { return float64(i.memory.Held()) })
 	m.gauge("sesamepitch_log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(i.logWriter.Dropped()) })
-	m.gauge("sesamepitch_limited_endpoints", "Endpoints that name a rate limit.", func() float64 { return float64(i.limits.Named()) })
+	m.gauge("sesamepitch_limited_endpoints", "Endpoints that name a rate limit.", func() float64 { return float64(i.limits.Limited()) })
 	for _, purpose := range sesamepitch.Purposes {
-		m.counter("sesamepitch_endpoint_requests_total", "Requests to endpoints by purpose.", purpose, func() int { all, _ := i.limits.Sent(purpose); return all })
-		m.counter("sesamepitch_limited_endpoint_requests_total", "Requests to endpoints that name a rate limit, by purpose.", purpose, func() int { _, limited := i.limits.Sent(purpose); return limited })
+		m.counter("sesamepitch_endpoint_requests_total", "Requests to endpoints by purpose.", purpose, func() int { all, _, _ := i.limits.Sent(purpose); return all })
+		m.counter("sesamepitch_limited_endpoint_requests_total", "Requests to endpoints with a limited rate, by purpose.", purpose, func() int { _, limited, _ := i.limits.Sent(purpose); return limited })
+		m.counter("sesamepitch_denied_endpoint_requests_total", "Requests not sent since the endpoint's rate did not allow them, by purpose.", purpose, func() int { _, _, denied := i.limits.Sent(purpose); return denied })
 	}
 	for _, name := range invariant.Names {
 		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
--- /dev/null
+++ b/src/ratelimit/budget.go
@@ -0,0 +1,44 @@
+package ratelimit
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// A budget grants its rate and a burst of minBurst requests and burstShare
+	// seconds' worth of them. Together with the slots of instances without a granter
+	// (slotShare) that stays below one and a half times the rate.
+	minBurst   = 2
+	burstShare = 0.1
+)
+
+// budget grants requests to one endpoint at a rate. It is the granter's.
+type budget struct{ limiter *rate.Limiter }
+
+// newBudget returns a budget of one request: a former granter may have granted
+// others just before.
+func newBudget(now time.Time, perSecond float64) *budget {
+	b := &budget{limiter: rate.NewLimiter(rate.Limit(perSecond), burstOf(perSecond))}
+	b.limiter.AllowN(now, burstOf(perSecond)-1)
+	return b
+}
+
+func burstOf(perSecond float64) int { return minBurst + int(burstShare*perSecond) }
+
+// take grants a request that is sent after wait, which is at most patience.
+// Otherwise it is not granted, and wait is the time until one will be.
+func (b *budget) take(now time.Time, perSecond float64, patience time.Duration) (wait time.Duration, granted bool) {
+	if float64(b.limiter.Limit()) != perSecond {
+		b.limiter.SetLimitAt(now, rate.Limit(perSecond))
+		b.limiter.SetBurstAt(now, burstOf(perSecond))
+	}
+	reservation := b.limiter.ReserveN(now, 1)
+	wait = reservation.DelayFrom(now)
+	if wait > patience {
+		reservation.CancelAt(now)
+		return wait, false
+	}
+	return wait, true
+}
--- a/src/registry/members.go
+++ b/src/registry/members.go
@@ -9,6 +9,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/quarantine"
+	"sesamepitch/src/ratelimit"
 	"sesamepitch/src/rowstore"
 
 	"github.com/go-logr/logr"
@@ -43,8 +44,33 @@
 	// Crashes reports the contents that crashed endpoints while the instance ran
 	// them.
 	Crashes []quarantine.Report `json:"crashes,omitempty"`
+	// Limits are the endpoints' rate limits; the granter of requests shares them.
+	Limits []ratelimit.Statement `json:"limits,omitempty"`
 }
 
+// LimitSharer shares what instances know of endpoints' rate limits; ratelimit.Gate
+// implements it.
+type LimitSharer interface {
+	// Share returns what this instance publishes, Receive applies what another one
+	// has published.
+	Share() []ratelimit.Statement
+	Receive(statements []ratelimit.Statement)
+	// Changed returns a channel that receives when there is something new.
+	Changed() <-chan struct{}
+}
+
+// nothingShared is a LimitSharer that shares nothing.
+type nothingShared struct{}
+
+// Share implements LimitSharer.
+func (nothingShared) Share() []ratelimit.Statement { return nil }
+
+// Receive implements LimitSharer.
+func (nothingShared) Receive([]ratelimit.Statement) {}
+
+// Changed implements LimitSharer.
+func (nothingShared) Changed() <-chan struct{} { return nil }
+
 // Members tracks the instances by their rows and renews the row of this one.
 type Members struct {
 	clock   sesamepitch.Clock
@@ -59,6 +85,7 @@
 	// suspects are the suspected contents: this instance's are published in its
 	// row, those of others are read from theirs.
 	suspects *quarantine.List
+	limits   LimitSharer
 
 	mu sync.Mutex
 	// firstRowsAt is when the first update arrived.
@@ -82,10 +109,14 @@
 func NewMembers(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, name, centre, address string, cores float64, seeds []string, suspects *quarantine.List) *Members {
 	return &Members{
 		clock: clock, log: log, table: table, name: name, centre: centre, address: address, cores: cores, seeds: seeds,
-		started: clock.Now().UnixMilli(), suspects: suspects, members: map[string]memberState{},
+		started: clock.Now().UnixMilli(), suspects: suspects, limits: nothingShared{}, members: map[string]memberState{},
 	}
 }
 
+// ShareLimits makes the rows also share what instances know of endpoints' rate
+// limits. It must be called before Run and Apply.
+func (m *Members) ShareLimits(limits LimitSharer) { m.limits = limits }
+
 // Apply applies an update of MemberTable.
 func (m *Members) Apply(update Update) {
 	m.mu.Lock()
@@ -102,6 +133,7 @@
 		}
 		if name != m.name {
 			m.suspects.SetReports(fmt.Sprint(name, "@", decoded.Started), decoded.Crashes)
+			m.limits.Receive(decoded.Limits)
 		}
 		m.members[name] = memberState{address: decoded.Address, centre: decoded.Centre, cores: decoded.Cores, started: decoded.Started, seenAt: m.clock.Now()}
 	}
@@ -136,6 +168,25 @@
 	return max(len(m.members), 1)
 }
 
+// Rank returns the position of this instance's name among those of the live
+// instances, and their number; ok is false while no rows were read.
+func (m *Members) Rank() (rank, count int, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	count = 1
+	for name, other := range m.members {
+		if name == m.name || now.Sub(other.seenAt) >= memberTTL {
+			continue
+		}
+		count++
+		if name < m.name {
+			rank++
+		}
+	}
+	return rank, count, !m.firstRowsAt.IsZero()
+}
+
 // similarCoresRatio is the share of the largest instance's cores from which an
 // instance counts as equally large.
 const similarCoresRatio = 0.9
@@ -202,6 +253,7 @@
 		select {
 		case <-m.clock.After(wait - minAnnounceInterval):
 		case <-m.suspects.Changed():
+		case <-m.limits.Changed():
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -222,7 +274,7 @@
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	m.renewal++
-	row := memberRow{Address: m.address, Centre: m.centre, Cores: m.cores, Started: m.started, Renewal: m.renewal, Crashes: m.suspects.Reports()}
+	row := memberRow{Address: m.address, Centre: m.centre, Cores: m.cores, Started: m.started, Renewal: m.renewal, Crashes: m.suspects.Reports(), Limits: m.limits.Share()}
 	_, err := m.table.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: memberKey(m.name), Value: rowstore.Encode(row)}}})
 	return err
 }
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -15,6 +15,8 @@
 	// Born is the start time of the endpoint's process in Unix milliseconds: an
 	// endpoint may restart under its ID.
 	Born int64
+	// Admitted is set if a RateLimiter has admitted the request.
+	Admitted bool
 }
 
 // Purpose is what a request to an endpoint is for.
@@ -58,9 +60,34 @@
 	Answered(to Destination, sent time.Time, limit StatedLimit)
 }
 
-// OpenGate is a RequestGate that admits all requests and records nothing.
+// RateLimiter admits requests to endpoints whose rate is limited over all
+// instances.
+type RateLimiter interface {
+	// Take admits a request, which may have to wait for up to patience, or reports
+	// when to try again. It may ask another instance.
+	Take(ctx context.Context, to Destination, patience time.Duration) (retryIn time.Duration, admitted bool)
+	// TryTake is Take without any wait.
+	TryTake(to Destination) (retryIn time.Duration, admitted bool)
+	// Interval returns the mean time between two requests to an endpoint; zero if
+	// its rate is not limited.
+	Interval(to Destination) time.Duration
+}
+
+// OpenGate is a RequestGate and a RateLimiter that admits all requests and records
+// nothing.
 type OpenGate struct{}
 
+// Take implements RateLimiter.
+func (OpenGate) Take(context.Context, Destination, time.Duration) (time.Duration, bool) {
+	return 0, true
+}
+
+// TryTake implements RateLimiter.
+func (OpenGate) TryTake(Destination) (time.Duration, bool) { return 0, true }
+
+// Interval implements RateLimiter.
+func (OpenGate) Interval(Destination) time.Duration { return 0 }
+
 // Admit implements RequestGate.
 func (OpenGate) Admit(context.Context, Destination, Purpose) error { return nil }
 
