Cold endpoints are granted by the same mechanism as limited ones

A cold endpoint's rate was split by a constant: 1/N for each instance by its count of rows (an instance that knew no others yet took all of it), and the driver alone for engines, by a second mechanism of its own. Change: the gate's rate of an endpoint is the lower of what it names and what it bears while cold; nextColdAt, coldSentAt, noCold, WithInstances and the random first delay go. An instance without the granter, and a driver whose lease ran out, have their slots instead of nothing or a constant. The invariant cold_rate (engines, rate + 1 a second) becomes endpoint_rate, for all endpoints: rate + 1 + a tenth of the rate, which is the budget's burst; the rule allows 1.5 x rate + 5.

--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -74,12 +74,6 @@
 	// eventSamples events.
 	eventTime    time.Duration
 	eventSamples int
-	// coldNextAt is the earliest time for the next item while the engine is
-	// cold.
-	coldNextAt time.Time
-	// coldSentAt are the times, within the last second, at which items were
-	// sent to the cold engine.
-	coldSentAt []time.Time
 	// prompts are the groups whose prompt the engine has read, newest last.
 	prompts []string
 }
@@ -188,8 +182,6 @@
 	// centre if the engine was unreachable or stalled.
 	avoid       string
 	avoidCentre string
-	// noCold excludes cold engines, which only the holder of the lease may send to.
-	noCold bool
 }
 
 // fits reports whether an engine may get an item now.
@@ -207,8 +199,6 @@
 		return false
 	case e.loadingModel == req.model && !e.mayProbe(now):
 		return false
-	case now.Before(e.entry.ColdUntil) && (req.noCold || now.Before(e.coldNextAt)):
-		return false
 	}
 	return true
 }
--- a/src/driver/run.go
+++ b/src/driver/run.go
@@ -61,9 +61,6 @@
 		e.probing, r.probe = true, true
 	}
 	e.recordPrompt(t.item.Group)
-	if now.Before(e.entry.ColdUntil) {
-		s.sendCold(e, now)
-	}
 	s.log.Info("item placed", "job", t.job.ID, "item", t.item.ID, "group", t.item.Group, "engine", e.entry.ID,
 		"engine_row", e.entry.Revision, "running", e.running, "version", e.versions[t.job.Model],
 		"min_version", t.job.MinVersion, "after", len(t.output.events), "waited_ms", now.Sub(t.waitingSince).Milliseconds())
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -192,7 +192,7 @@
 // requirementOf returns what a task requires of an engine. An empty service
 // means that no route matches the task now.
 func (s *session) requirementOf(t *task) requirement {
-	req := requirement{model: t.job.Model, minVersion: t.job.MinVersion, group: t.item.Group, avoid: t.avoid, avoidCentre: t.avoidCentre, noCold: !s.loader.holdsLease()}
+	req := requirement{model: t.job.Model, minVersion: t.job.MinVersion, group: t.item.Group, avoid: t.avoid, avoidCentre: t.avoidCentre}
 	config := s.registry.Config()
 	if config == nil {
 		return req
@@ -222,29 +222,6 @@
 	return max(route.MaxAttempts, 1)
 }
 
-// coldRate returns how many items per second a cold engine accepts, zero for no
-// limit.
-func (s *session) coldRate(e *engine) float64 {
-	config := s.registry.Config()
-	if config == nil {
-		return 0
-	}
-	return config.Services[e.entry.Service].ColdRate
-}
-
-// sendCold records an item for a cold engine and the earliest time for the next
-// one.
-func (s *session) sendCold(e *engine, now time.Time) {
-	rate := s.coldRate(e)
-	if rate <= 0 {
-		return
-	}
-	e.coldNextAt = now.Add(time.Duration(float64(time.Second) / rate))
-	e.coldSentAt = slices.DeleteFunc(e.coldSentAt, func(at time.Time) bool { return now.Sub(at) >= time.Second })
-	e.coldSentAt = append(e.coldSentAt, now)
-	s.checks.Check(float64(len(e.coldSentAt)) <= rate+1, invariant.ColdRate, "engine", e.entry.ID, "sent", len(e.coldSentAt), "rate", rate)
-}
-
 // place starts runs of waiting tasks, the most urgent first.
 func (s *session) place(ctx context.Context, now time.Time) {
 	var waiting []*task
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -15,9 +15,6 @@
 	avoidFailedTime = 1500 * time.Millisecond
 	// avoidFullTime is how long an endpoint is avoided after it reported overload.
 	avoidFullTime = 100 * time.Millisecond
-	// coldResetTime is how long an endpoint must not have been seen cold for its
-	// next cold phase to count as new.
-	coldResetTime = 2 * time.Second
 	// newConnectionCost, otherCentreCost and coldCost are added to an endpoint's
 	// load; 1 is the load of a full endpoint.
 	newConnectionCost = 0.6
@@ -33,10 +30,6 @@
 	connUsedAt time.Time
 	servedAt   time.Time
 	avoidUntil time.Time
-	// nextColdAt is when the endpoint may get its next request while cold.
-	nextColdAt time.Time
-	// lastColdAt is when the endpoint was last seen cold.
-	lastColdAt time.Time
 	// limitedUntil is when the endpoint's rate may allow another request.
 	limitedUntil time.Time
 }
@@ -121,11 +114,6 @@
 	endpoints := g.registry.Endpoints(c.service)
 	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
 	now := g.clock.Now()
-	coldRate := g.coldRate(c.service)
-	coldInterval := time.Duration(0)
-	if coldRate > 0 {
-		coldInterval = time.Duration(float64(time.Second) * float64(g.instances()) / coldRate)
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var candidates []candidate
@@ -140,22 +128,15 @@
 			goodWithoutRoom = goodWithoutRoom || !avoided
 			continue
 		}
-		cold := now.Before(endpoint.ColdUntil) && coldRate > 0
-		if cold && !state.coldRequestAllowed(now, endpoint.ColdUntil, coldInterval) {
-			continue
-		}
 		candidates = append(candidates, candidate{
 			endpoint: endpoint, running: state.running, connected: now.Sub(state.connUsedAt) < g.forward.IdleTimeout(destination(endpoint)),
-			avoided: avoided, cold: cold, sameCentre: endpoint.Centre == g.centre,
+			avoided: avoided, cold: now.Before(endpoint.ColdUntil), sameCentre: endpoint.Centre == g.centre,
 		})
 	}
 	best, found := cheapest(candidates)
 	if found && best.avoided && goodWithoutRoom {
 		return registry.Endpoint{}, false
 	}
-	if found && best.cold {
-		g.stateOf(best.endpoint.ID).nextColdAt = now.Add(coldInterval)
-	}
 	return best.endpoint, found
 }
 
@@ -211,26 +192,6 @@
 	return len(route.Regions) == 0 || slices.Contains(route.Regions, g.region)
 }
 
-// coldRequestAllowed reports whether this instance may send a request to a cold
-// endpoint now. The instance's share of the endpoint's cold rate is one request
-// per interval. The first is sent at a random time within an interval, so that
-// the instances do not all send at once.
-func (s *endpointState) coldRequestAllowed(now, coldUntil time.Time, interval time.Duration) bool {
-	if now.Sub(s.lastColdAt) > coldResetTime {
-		s.nextColdAt = now.Add(rand.N(interval + 1))
-	}
-	s.lastColdAt = now
-	return !now.Before(s.nextColdAt) && now.Before(coldUntil)
-}
-
-func (g *Gateway) coldRate(service string) float64 {
-	config := g.registry.Config()
-	if config == nil {
-		return 0
-	}
-	return config.Services[service].ColdRate
-}
-
 func (g *Gateway) stateOf(id string) *endpointState {
 	state := g.endpoints[id]
 	if state == nil {
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -68,9 +68,6 @@
 	centre   string
 	region   string
 	checks   *invariant.Recorder
-	// instances returns the number of instances that share the cold endpoints'
-	// request rates.
-	instances func() int
 	// notify passes the header of an accepted or ended job to the driver.
 	notify       func(batch.Header)
 	connectivity sesamepitch.Connectivity
@@ -106,12 +103,6 @@
 	return func(g *Gateway) { g.checks = checks }
 }
 
-// WithInstances sets the function that returns how many instances share the
-// cold endpoints' request rates; the default is one.
-func WithInstances(instances func() int) Option {
-	return func(g *Gateway) { g.instances = instances }
-}
-
 // WithNotify sets the function that passes each accepted or ended job to the
 // driver; notify must not block.
 func WithNotify(notify func(batch.Header)) Option {
@@ -134,7 +125,6 @@
 	g := &Gateway{
 		clock: clock, log: log, registry: reg, forward: forward, ledger: ledger, meter: meter,
 		centre: centre, region: region, endpoints: map[string]*endpointState{}, latencies: map[string]*latency.Window{},
-		instances:    func() int { return 1 },
 		notify:       func(batch.Header) {},
 		connectivity: reachable{},
 		isFresh:      func() bool { return true },
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -163,7 +163,7 @@
 func (i *Instance) build() {
 	s := i.settings
 	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers, s.Bounds.Lease)
-	i.limits = ratelimit.New(i.clock, i.log, ratelimit.NewStatements(i.clock, i.log), i.lease, i.members, i.peers)
+	i.limits = ratelimit.New(i.clock, i.log, ratelimit.NewStatements(i.clock, i.log), i.lease, i.members, i.peers, ratelimit.WithColdRate(i.coldRate), ratelimit.WithChecks(i.checks))
 	i.members.ShareLimits(i.limits)
 	i.endpoints = i.adapter.Connect(i.limits)
 	i.metrics = newMetrics(i)
@@ -174,11 +174,25 @@
 	calls := i.adapter.FencedCalls(guard)
 	i.scaler = scaling.New(i.clock, i.log, i.store, i.registry, calls, i.lease.ForFencedCalls(), s.Instance)
 	i.reporter = billing.NewReporter(i.clock, i.log, i.store, calls, i.lease.ForFencedCalls(), s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate, billing.WithChecks(i.checks))
-	i.gateway = gateway.New(i.clock, i.log, i.registry, i.endpoints.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithInstances(i.members.Count), gateway.WithNotify(func(header batch.Header) { i.hinter.Notify(header) }), gateway.WithConnectivity(i.isolation), gateway.WithFreshness(i.pauses.isFresh), gateway.WithQuarantine(i.suspects), gateway.WithRateLimiter(i.limits))
+	i.gateway = gateway.New(i.clock, i.log, i.registry, i.endpoints.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithNotify(func(header batch.Header) { i.hinter.Notify(header) }), gateway.WithConnectivity(i.isolation), gateway.WithFreshness(i.pauses.isFresh), gateway.WithQuarantine(i.suspects), gateway.WithRateLimiter(i.limits))
 	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.endpoints.Engines, i.endpoints.Control(guard), i.gateway, i.lease, s.Instance, i.members, driver.WithChecks(i.checks), driver.WithRetention(s.Bounds.Status), driver.WithRewardObserver(i.metrics.observeReward), driver.WithRateLimiter(i.limits))
 	i.hinter = driver.NewHinter(i.clock, i.log, i.driver, i.peers)
 }
 
+// coldRate returns the requests per second that an endpoint bears while it is cold;
+// zero if it is warm.
+func (i *Instance) coldRate(to sesamepitch.Destination) float64 {
+	endpoint, found := i.registry.Endpoint(to.ID)
+	if !found || !i.clock.Now().Before(endpoint.ColdUntil) {
+		return 0
+	}
+	config := i.registry.Config()
+	if config == nil {
+		return 0
+	}
+	return config.Services[endpoint.Service].ColdRate
+}
+
 // workers returns the goroutines that run as long as the instance.
 func (i *Instance) workers(listeners *listeners) *supervisor.Tree {
 	return supervisor.New(i.clock, i.log,
--- a/src/invariant/invariant.go
+++ b/src/invariant/invariant.go
@@ -25,9 +25,9 @@
 	// ResultScored requires that a complete result has the score that its item asks
 	// for.
 	ResultScored = "result_scored"
-	// ColdRate requires that a cold engine is sent no more items per second than its
-	// service's cold rate allows.
-	ColdRate = "cold_rate"
+	// EndpointRate requires that no more requests per second are granted for an
+	// endpoint than its rate and a small burst.
+	EndpointRate = "endpoint_rate"
 	// RefusalTrue requires that a request reported as not run was not sent to an
 	// endpoint that may have run it.
 	RefusalTrue = "refusal_true"
@@ -37,7 +37,7 @@
 
 // Names lists all invariants.
 var Names = []string{
-	ConfigNeverOlder, OrderUnderLease, ResultVersions, ResultOnce, ResultScored, ColdRate, RefusalTrue, UsageFrozen,
+	ConfigNeverOlder, OrderUnderLease, ResultVersions, ResultOnce, ResultScored, EndpointRate, RefusalTrue, UsageFrozen,
 }
 
 // Recorder counts violations and logs each one. Check on a nil Recorder does
--- a/src/ratelimit/budget.go
+++ b/src/ratelimit/budget.go
@@ -8,14 +8,18 @@
 
 const (
 	// A budget grants its rate and a burst of minBurst requests and burstShare
-	// seconds' worth of them. Together with the slots of instances without a granter
+	// seconds' worth more. Together with the slots of instances without a granter
 	// (slotShare) that stays below one and a half times the rate.
-	minBurst   = 2
+	minBurst   = 1
 	burstShare = 0.1
 )
 
 // budget grants requests to one endpoint at a rate. It is the granter's.
-type budget struct{ limiter *rate.Limiter }
+type budget struct {
+	limiter *rate.Limiter
+	// granted are the times of the requests granted within the last second.
+	granted []time.Time
+}
 
 // newBudget returns a budget of one request: a former granter may have granted
 // others just before.
@@ -42,3 +46,13 @@
 	}
 	return wait, true
 }
+
+// record records a granted request that is sent at a time, and returns how many are
+// sent within the second before it.
+func (b *budget) record(at time.Time) int {
+	for len(b.granted) > 0 && at.Sub(b.granted[0]) >= time.Second {
+		b.granted = b.granted[1:]
+	}
+	b.granted = append(b.granted, at)
+	return len(b.granted)
+}
--- a/src/ratelimit/gate.go
+++ b/src/ratelimit/gate.go
@@ -10,6 +10,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/invariant"
 	"sesamepitch/src/lease"
 
 	"github.com/go-logr/logr"
@@ -58,6 +59,8 @@
 	lease      Lease
 	members    Members
 	peers      sesamepitch.PeerCaller
+	coldRate   func(to sesamepitch.Destination) float64
+	checks     *invariant.Recorder
 	// news are the statements that this instance heard and has yet to tell the
 	// granter.
 	news chan Statement
@@ -75,16 +78,42 @@
 	counts           counts
 }
 
+// Option configures a Gate.
+type Option func(*Gate)
+
+// WithColdRate sets the function that returns the requests per second that an
+// endpoint bears while it is cold, zero if it is not or has no such rate.
+func WithColdRate(coldRate func(to sesamepitch.Destination) float64) Option {
+	return func(g *Gate) { g.coldRate = coldRate }
+}
+
+// WithChecks sets the recorder of invariant violations.
+func WithChecks(checks *invariant.Recorder) Option {
+	return func(g *Gate) { g.checks = checks }
+}
+
 // New returns the gate of an instance.
-func New(clock sesamepitch.Clock, log logr.Logger, statements *Statements, granter Lease, members Members, peers sesamepitch.PeerCaller) *Gate {
-	return &Gate{
+func New(clock sesamepitch.Clock, log logr.Logger, statements *Statements, granter Lease, members Members, peers sesamepitch.PeerCaller, options ...Option) *Gate {
+	g := &Gate{
 		clock: clock, log: log, statements: statements, lease: granter, members: members, peers: peers,
 		news: make(chan Statement, newsQueueSize), share: make(chan struct{}, 1), budgets: map[process]*budget{}, usedSlots: map[process]int64{}, counts: newCounts(),
+		coldRate: func(sesamepitch.Destination) float64 { return 0 },
+	}
+	for _, option := range options {
+		option(g)
 	}
+	return g
 }
 
-// rate returns the requests per second that an endpoint bears; zero for no limit.
-func (g *Gate) rate(to sesamepitch.Destination) float64 { return g.statements.perSecond(processOf(to)) }
+// rate returns the requests per second that an endpoint bears: what it names, or
+// less while it is cold; zero for no limit.
+func (g *Gate) rate(to sesamepitch.Destination) float64 {
+	named, cold := g.statements.perSecond(processOf(to)), g.coldRate(to)
+	if cold > 0 && (named == 0 || cold < named) {
+		return min(max(cold, minRate), maxRate)
+	}
+	return named
+}
 
 // Interval returns the mean time between two requests to an endpoint; zero if its
 // rate is not limited.
@@ -164,6 +193,8 @@
 	if !granted {
 		return wait, errDenied
 	}
+	inSecond := g.budgets[id].record(now.Add(wait))
+	g.checks.Check(float64(inSecond) <= perSecond+float64(burstOf(perSecond)), invariant.EndpointRate, "endpoint", id.ID, "granted", inSecond, "rate", perSecond)
 	return wait, nil
 }
 
--- a/src/ratelimit/gate_test.go
+++ b/src/ratelimit/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -209,3 +210,44 @@
 	_, admitted := c.gates["b"].Take(context.Background(), limitedEndpoint, 0)
 	assert.Assert(t, !admitted)
 }
+
+// TestColdEndpoint has 20 instances send to an endpoint that is cold, or cold and
+// limited as well: together they keep to the lower rate at each second, with the
+// granter at hand or not.
+func TestColdEndpoint(t *testing.T) {
+	cases := []struct {
+		name         string
+		cold, named  float64
+		lower        float64
+		granterAway  bool
+		leastIn20Sec int
+	}{
+		{"cold", 10, 0, 10, false, 190},
+		{"cold, no granter", 10, 0, 10, true, 70},
+		{"cold and named lower", 10, 2, 2, false, 38},
+		{"cold lower", 3, 8, 3, false, 57},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			names := []string{"a"}
+			for i := range 19 {
+				names = append(names, fmt.Sprintf("b%02d", i))
+			}
+			cluster := newCluster(names...)
+			cluster.cut["a"] = c.granterAway
+			for name, gate := range cluster.gates {
+				gate.coldRate = func(sesamepitch.Destination) float64 { return c.cold }
+				if c.named > 0 {
+					cluster.hear(name, limitedEndpoint, named(c.named))
+				}
+				if c.granterAway && name == "a" {
+					delete(cluster.gates, name)
+				}
+			}
+			sent := cluster.sendFor(20*time.Second, limitedEndpoint)
+			most := busiest(sent, time.Second)
+			assert.Assert(t, float64(most) <= 1.5*c.lower+5, "%d in a second", most)
+			assert.Assert(t, len(sent) >= c.leastIn20Sec, "%d sent in all", len(sent))
+		})
+	}
+}
--- a/src/registry/registry.go
+++ b/src/registry/registry.go
@@ -105,6 +105,14 @@
 	return usable
 }
 
+// Endpoint returns the endpoint with an ID, and whether it is registered.
+func (r *Registry) Endpoint(id string) (Endpoint, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	endpoint, found := r.endpoints[id]
+	return endpoint, found
+}
+
 // All returns all endpoints by id, including draining ones.
 func (r *Registry) All() map[string]Endpoint {
 	r.mu.RLock()
