A limited endpoint does not keep callers from one that was avoided; bursts of three

Cause: choose counted endpoints at their limit as good ones without room, for which calls wait rather than go to an avoided endpoint; callers' requests don't wait. Also: a budget's burst is three requests and a tenth of a second's worth (before: one).

--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -124,7 +124,10 @@
 		}
 		state := g.stateOf(endpoint.ID)
 		avoided := now.Before(state.avoidUntil) || c.avoided[endpoint.ID]
-		if !c.hasRoom(endpoint, state.running) || now.Before(state.limitedUntil) {
+		if now.Before(state.limitedUntil) {
+			continue
+		}
+		if !c.hasRoom(endpoint, state.running) {
 			goodWithoutRoom = goodWithoutRoom || !avoided
 			continue
 		}
--- a/src/ratelimit/budget.go
+++ b/src/ratelimit/budget.go
@@ -10,7 +10,7 @@
 	// A budget grants its rate and a burst of minBurst requests and burstShare
 	// seconds' worth more. Together with the slots of instances without a granter
 	// (slotShare) that stays below one and a half times the rate.
-	minBurst   = 1
+	minBurst   = 3
 	burstShare = 0.1
 )
 
