Large files are split by what they hold

Moves only: the lines before and after are the same, imports aside (counted over the seven folders).

--- a/src/centre/sync.go
+++ b/src/centre/sync.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sort"
 	"strings"
 	"time"
 
 	sesamepitch "sesamepitch/src"
-	"sesamepitch/src/document"
 	"sesamepitch/src/lease"
 	"sesamepitch/src/notice"
-	"sesamepitch/src/rowstore"
 	"sesamepitch/src/supervisor"
 )
 
@@ -241,187 +238,11 @@
 	return notices, NoticeState{Set: n.notices.ID(), Index: next}
 }
 
-// runExchange makes a leader exchange configuration and notices with the
-// leaders of other data centres: a few at random, or all while the table is
-// unreachable.
-func (n *Node) runExchange(ctx context.Context) error {
-	for {
-		if n.IsLeader() {
-			for _, remote := range n.pickRemotes() {
-				n.exchange(ctx, remote)
-			}
-		}
-		select {
-		case <-n.clock.After(n.settings.Beat):
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-func (n *Node) pickRemotes() []Remote {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.lead == nil {
-		return nil
-	}
-	remotes := append([]Remote(nil), n.lead.remotes...)
-	if n.clock.Now().Sub(n.syncedAt) > 2*n.settings.Beat+n.callTimeout() {
-		return remotes
-	}
-	rand.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
-	return remotes[:min(len(remotes), exchangeFanOut)]
-}
-
-func (n *Node) exchange(ctx context.Context, remote Remote) {
-	n.mu.Lock()
-	state := n.exchanges[remote.Address]
-	if state == nil {
-		state = &exchangeState{}
-		n.exchanges[remote.Address] = state
-	}
-	args := ExchangeArgs{Centre: n.settings.Centre, Config: n.holder.Current().Version(), Set: n.notices.ID(), Read: state.read}
-	n.mu.Unlock()
-	next := 0
-	args.Notices, next = n.notices.Since(state.sent, state.read.Set)
-	sent := n.clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, n.callTimeout())
-	defer cancel()
-	var reply ExchangeReply
-	if err := n.dialer.Call(callCtx, remote.Address, "Centre.Exchange", args, &reply); err != nil || !reply.Leading {
-		return
-	}
-	n.notices.Add(reply.Read.Set, reply.Notices...)
-	if !n.applyExchange(reply) {
-		return
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if state.read.Set != "" && state.read.Set != reply.Read.Set {
-		next = 0
-	}
-	state.sent, state.read = next, reply.Read
-	if reply.Age >= 0 {
-		n.advanceSyncedAtLocked(sent.Add(-reply.Age))
-	}
-}
-
-// exchangeState is how far two leaders have read each other's notices.
-type exchangeState struct {
-	sent int
-	read NoticeState
-}
-
-func (n *Node) applyExchange(reply ExchangeReply) bool {
-	current := n.holder.Current()
-	if reply.Config <= current.Version() {
-		return true
-	}
-	next, err := document.ApplyDeltas(current, reply.Deltas)
-	if err != nil || next.Version() < reply.Config {
-		if reply.Document == nil {
-			return false
-		}
-		next = document.NewConfig(reply.Config, *reply.Document)
-	}
-	n.advance(next, reply.Deltas)
-	supervisor.Wake(n.nudge)
-	n.nudgeMembers()
-	return true
-}
-
-// Exchange handles the call of another data centre's leader.
-func (s *Service) Exchange(args ExchangeArgs, reply *ExchangeReply) error {
-	n := s.node
-	if !n.IsLeader() {
-		return nil
-	}
-	reply.Leading = true
-	n.notices.Add(args.Set, args.Notices...)
-	reply.Notices, reply.Read = n.noticesFor(args.Read, args.Set)
-	current := n.holder.Current()
-	reply.Config = current.Version()
-	if args.Config < reply.Config {
-		reply.Deltas = n.deltasAfter(args.Config)
-		if reply.Deltas == nil {
-			reply.Document = n.currentDocument()
-		}
-	}
-	synced, _ := n.Contact()
-	reply.Age = -1
-	if !synced.IsZero() {
-		reply.Age = n.clock.Now().Sub(synced)
-	}
-	return nil
-}
-
 func recordAddress(row sesamepitch.Row) (string, bool) {
 	var record lease.Record
 	err := json.Unmarshal(row.Value, &record)
 	return record.Address, err == nil && record.Address != ""
 }
 
-// MemberStatus is the state of one daemon.
-type MemberStatus struct {
-	ID      string `json:"id"`
-	Address string `json:"address"`
-	Config  int64  `json:"config"`
-	// Batches counts the batches of the notice log that the daemon holds.
-	Batches int64 `json:"batches"`
-}
-
-// Status is a data centre's row in the table, written by its leader.
-type Status struct {
-	Centre  string         `json:"centre"`
-	Leader  string         `json:"leader"`
-	Epoch   int64          `json:"epoch"`
-	Members []MemberStatus `json:"members"`
-	At      time.Time      `json:"at"`
-}
-
 // StatusPrefix is the key prefix of the data centres' status rows.
 const StatusPrefix = "status/"
-
-func (n *Node) writeStatus(ctx context.Context, state *syncState) {
-	status, leading := n.Status()
-	if !leading {
-		return
-	}
-	now := n.clock.Now()
-	if sameStatus(status, state.status) && now.Sub(state.statusAt) < statusInterval {
-		return
-	}
-	_, err := n.platform.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: StatusPrefix + n.settings.Centre, Value: rowstore.Encode(status)}}})
-	if err == nil {
-		state.status, state.statusAt = status, now
-	}
-}
-
-func sameStatus(a, b Status) bool {
-	if a.Leader != b.Leader || a.Epoch != b.Epoch || len(a.Members) != len(b.Members) {
-		return false
-	}
-	for i := range a.Members {
-		if a.Members[i] != b.Members[i] {
-			return false
-		}
-	}
-	return true
-}
-
-// Status returns the data centre's state. On a follower, leading is false and
-// the status has only the follower itself.
-func (n *Node) Status() (status Status, leading bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	status = Status{Centre: n.settings.Centre, Leader: n.leader.ID, Epoch: n.epoch.Table, At: n.clock.Now()}
-	if n.lead == nil {
-		status.Members = []MemberStatus{{ID: n.settings.Self.ID, Address: n.settings.Self.Address, Config: n.holder.Current().Version()}}
-		return status, false
-	}
-	for _, member := range n.liveMembers() {
-		state := n.lead.members[member.ID]
-		status.Members = append(status.Members, MemberStatus{ID: member.ID, Address: member.Address, Config: state.configVersion, Batches: state.batches})
-	}
-	return status, true
-}
--- /dev/null
+++ b/src/instance/adapter.go
@@ -0,0 +1,43 @@
+package instance
+
+import (
+	"net/http"
+
+	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/gateway"
+	"sesamepitch/src/registry"
+	"sesamepitch/src/site"
+)
+
+// Adapter connects an instance to the users' platform.
+type Adapter struct {
+	// Clock is the clock of all parts; it also advances while the process is
+	// suspended.
+	Clock   sesamepitch.Clock
+	Store   sesamepitch.Store
+	Decoder registry.Decoder
+	// Connect returns the clients of endpoints, whose requests all pass the gate.
+	Connect func(gate sesamepitch.RequestGate) Endpoints
+	// OperatorTable and EndpointTable are the tables that Decoder decodes.
+	OperatorTable string
+	EndpointTable string
+	// FencedCalls sends through a transport that requires a lease.
+	FencedCalls func(http.RoundTripper) sesamepitch.FencedCalls
+	// Callers returns the handler of callers' requests, Ready that of readiness
+	// checks.
+	Callers func(*gateway.Gateway, *BodyBudget) http.Handler
+	Ready   func(func() bool) http.Handler
+	// Reload reads the settings again.
+	Reload func() (site.Settings, error)
+}
+
+// Endpoints are the clients of endpoints.
+type Endpoints struct {
+	Engines sesamepitch.Engines
+	Forward sesamepitch.Forwarder
+	// Control sends orders through a transport that requires a lease.
+	Control func(http.RoundTripper) sesamepitch.EngineControl
+	// RetainConnections closes idle connections to all endpoints except those at
+	// the addresses.
+	RetainConnections func(addresses map[string]bool)
+}
