Engines that rate limits keep from work are replaced while work waits

Cause: the capacity target counts endpoints; one that takes a tenth of its load counted as a whole one.

--- a/src/driver/limit_test.go
+++ b/src/driver/limit_test.go
@@ -102,3 +102,23 @@
 	f.submit("new", 2, "y")
 	assert.Equal(t, f.results("new", 1, 8*time.Second)["y"].State, batch.Done)
 }
+
+// TestShortOfRate has engines take less than a job needs: the driver says so, and
+// says nothing of a service whose items don't wait.
+func TestShortOfRate(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 2)
+	limits := &pacedLimits{interval: map[string]time.Duration{"e0": 900 * time.Millisecond, "e1": 900 * time.Millisecond}, nextAt: map[string]time.Time{}, admitted: map[string]int{}}
+	d := f.newDriver("a", "", driver.WithRateLimiter(limits))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	assert.Assert(t, !d.ShortOfRate("lm"))
+	f.submit("j", 1, "a", "b", "c", "d", "e", "f", "g", "h")
+	eventually(t, func() bool { return d.ShortOfRate("lm") })
+	assert.Assert(t, !d.ShortOfRate("desk"))
+}
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -67,6 +67,8 @@
 	cache *outputCache
 	// lengths estimate the lengths of outputs, by model.
 	lengths map[string]*lengthModel
+	// shortOfRate is when engines' rate limits last kept a service's items waiting.
+	shortOfRate map[string]time.Time
 	// rewardLatency is how long answers to reward calls take.
 	rewardLatency latency.Window
 	observeReward RewardObserver
@@ -243,13 +245,56 @@
 			s.startRun(ctx, t, reserved)
 			continue
 		}
-		for e := choose(s.engineStates, now, req); e != nil; e = choose(s.engineStates, now, req) {
-			if s.admit(e, now) {
-				s.startRun(ctx, t, e)
-				break
-			}
+		if !s.placeTask(ctx, t, req, now) && now.Sub(t.waitingSince) >= shortageWait && s.hasLimited(now, req) {
+			s.shortOfRate[req.service] = now
+		}
+	}
+}
+
+// placeTask starts a run of a task at the cheapest engine whose rate allows it, and
+// reports whether there is one.
+func (s *session) placeTask(ctx context.Context, t *task, req requirement, now time.Time) bool {
+	for e := choose(s.engineStates, now, req); e != nil; e = choose(s.engineStates, now, req) {
+		if s.admit(e, now) {
+			s.startRun(ctx, t, e)
+			return true
+		}
+	}
+	return false
+}
+
+// hasLimited reports whether an engine would fit if its rate allowed the item.
+func (s *session) hasLimited(now time.Time, req requirement) bool {
+	for _, e := range s.engineStates {
+		unlimited := *e
+		unlimited.limitedUntil = time.Time{}
+		if now.Before(e.limitedUntil) && unlimited.fits(now, req) {
+			return true
 		}
 	}
+	return false
+}
+
+const (
+	// shortageWait is how long an item must have waited for an engine's rate to count
+	// as a shortage, and shortageTime how long one counts: work comes in bursts.
+	shortageWait = 1500 * time.Millisecond
+	shortageTime = 5 * time.Second
+)
+
+// ShortOfRate reports whether engines' rate limits keep items of a service waiting,
+// as far as this instance drives them.
+func (d *Driver) ShortOfRate(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.current == nil {
+		return false
+	}
+	s := d.current.session
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, short := s.shortOfRate[service]
+	return short && s.clock.Now().Sub(at) < shortageTime
 }
 
 // maxLimitedTime bounds how long an engine is left out after its rate allowed no
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -139,7 +139,10 @@
 	writer := s.Instance + "@" + i.clock.Now().Format("150405.000")
 	i.meter = billing.NewMeter(i.clock, i.log, i.store, s.Bounds.ReportWindow, writer)
 	calls := i.adapter.FencedCalls(guard)
-	i.scaler = scaling.New(i.clock, i.log, i.store, i.registry, calls, i.lease.ForFencedCalls(), s.Instance)
+	i.scaler = scaling.New(i.clock, i.log, i.store, i.registry, calls, i.lease.ForFencedCalls(), s.Instance, scaling.WithLimits(
+		func(service string) bool { return i.driver.ShortOfRate(service) },
+		func(e registry.Endpoint) bool { return i.limits.Named(e.ID, e.Born) },
+	))
 	i.reporter = billing.NewReporter(i.clock, i.log, i.store, calls, i.lease.ForFencedCalls(), s.Instance, s.Bounds.ReportWindow, s.Bounds.UsageLate, billing.WithChecks(i.checks))
 	i.gateway = gateway.New(i.clock, i.log, i.registry, i.endpoints.Forward, ledger, i.meter, s.Centre, s.Region, gateway.WithChecks(i.checks), gateway.WithNotify(func(header batch.Header) { i.hinter.Notify(header) }), gateway.WithConnectivity(i.isolation), gateway.WithFreshness(i.pauses.isFresh), gateway.WithQuarantine(i.suspects), gateway.WithRateLimiter(i.limits))
 	i.driver = driver.New(i.clock, i.log, i.store, ledger, i.registry, i.endpoints.Engines, i.endpoints.Control(guard), i.gateway, i.lease, s.Instance, i.members, driver.WithChecks(i.checks), driver.WithRetention(s.Bounds.Status), driver.WithRewardObserver(i.metrics.observeReward), driver.WithRateLimiter(i.limits))
--- a/src/ratelimit/gate.go
+++ b/src/ratelimit/gate.go
@@ -115,6 +115,11 @@
 	return named
 }
 
+// Named reports whether an endpoint's process names a limit.
+func (g *Gate) Named(id string, born int64) bool {
+	return g.statements.perSecond(process{ID: id, Born: born}) > 0
+}
+
 // Interval returns the mean time between two requests to an endpoint; zero if its
 // rate is not limited.
 func (g *Gate) Interval(to sesamepitch.Destination) time.Duration {
--- a/src/scaling/planner.go
+++ b/src/scaling/planner.go
@@ -46,7 +46,7 @@
 	firstSeen time.Time
 	// missingSince and surplusSince are the times since which a data centre has had
 	// fewer or more endpoints than its target; completeSince is the time since which
-	// none has had fewer.
+	// none has had fewer and no endpoint has a rate limit.
 	missingSince, surplusSince map[string]time.Time
 	completeSince              time.Time
 	// nextOrder is the earliest time of a data centre's next order; noCapacityUntil
@@ -57,6 +57,11 @@
 	releasing map[string]bool
 	// draining holds the draining endpoints of the last observation.
 	draining map[string]bool
+	// shortSince is the time since which endpoints' rate limits keep work waiting;
+	// zero if they don't.
+	shortSince time.Time
+	// limited is the number of endpoints with a rate limit.
+	limited int
 }
 
 func newPlanner(scaling registry.Scaling) *planner {
@@ -167,7 +172,7 @@
 		}
 	}
 	switch {
-	case !complete:
+	case !complete || p.limited > 0:
 		p.completeSince = time.Time{}
 	case p.completeSince.IsZero():
 		p.completeSince = now
--- a/src/scaling/scaler.go
+++ b/src/scaling/scaler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	sesamepitch "sesamepitch/src"
@@ -34,6 +35,10 @@
 	calls    sesamepitch.FencedCalls
 	lease    sesamepitch.LeaseHolder
 	instance string
+	// isShort reports whether endpoints' rate limits keep a service's work waiting,
+	// isLimited whether an endpoint has one.
+	isShort   func(service string) bool
+	isLimited func(endpoint registry.Endpoint) bool
 	// epoch is the lease epoch in which the planners were created.
 	epoch    int64
 	planners map[string]*storedPlanner
@@ -45,12 +50,26 @@
 	version int64
 }
 
+// Option configures a Scaler.
+type Option func(*Scaler)
+
+// WithLimits sets the functions that report whether endpoints' rate limits keep a
+// service's work waiting, and whether an endpoint has such a limit.
+func WithLimits(isShort func(service string) bool, isLimited func(endpoint registry.Endpoint) bool) Option {
+	return func(s *Scaler) { s.isShort, s.isLimited = isShort, isLimited }
+}
+
 // New returns the scaler of an instance.
-func New(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, reg *registry.Registry, calls sesamepitch.FencedCalls, lease sesamepitch.LeaseHolder, instance string) *Scaler {
-	return &Scaler{
+func New(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, reg *registry.Registry, calls sesamepitch.FencedCalls, lease sesamepitch.LeaseHolder, instance string, options ...Option) *Scaler {
+	s := &Scaler{
 		clock: clock, log: log, table: table, registry: reg, calls: calls, lease: lease, instance: instance,
 		planners: map[string]*storedPlanner{},
+		isShort:  func(string) bool { return false }, isLimited: func(registry.Endpoint) bool { return false },
+	}
+	for _, option := range options {
+		option(s)
 	}
+	return s
 }
 
 // Run keeps services at their capacity targets until ctx ends.
@@ -115,7 +134,9 @@
 // changed target is stored before endpoints are ordered for it.
 func (s *Scaler) reconcile(ctx context.Context, service string, p *storedPlanner) {
 	endpoints := s.endpointsOf(service)
-	if p.observe(s.clock.Now(), endpoints) && !s.saveTarget(ctx, service, p) {
+	limited := slices.DeleteFunc(slices.Clone(endpoints), func(e registry.Endpoint) bool { return !s.isLimited(e) })
+	replaced := p.observeLimits(s.clock.Now(), limited, s.isShort(service))
+	if (p.observe(s.clock.Now(), endpoints) || replaced) && !s.saveTarget(ctx, service, p) {
 		return
 	}
 	excluded := s.registry.CentresOut()
--- a/src/scaling/target.go
+++ b/src/scaling/target.go
@@ -1,6 +1,7 @@
 // Package scaling keeps services at their capacity targets: it orders replacements
-// for lost endpoints, in other data centres if their own has none free, and
-// releases these once the lost endpoints are back.
+// for lost endpoints, in other data centres if their own has none free, and for
+// those whose rate limits keep work waiting, and releases these once the lost
+// endpoints are back and the limits are over.
 package scaling
 
 import "maps"
@@ -10,7 +11,8 @@
 type CapacityTarget struct {
 	// Configured counts the endpoints that operators gave the service.
 	Configured map[string]int `json:"base"`
-	// Replacement counts the endpoints that replace lost ones of other data centres.
+	// Replacement counts the endpoints that replace lost ones of other data centres, or
+	// limited ones.
 	Replacement map[string]int `json:"extra,omitempty"`
 }
 
