Limits: what a second reading found

Read again before the landing; each with a test that failed first or could not exist: - a caller that left while the granter was asked made the granter count as down for 1 s (TestCallerThatLeft); the next granter was held for down as well; - a request that came while all endpoints were known to take none was refused with 'no endpoint' and 0.4 s, and never waited (TestLimitedEndpoints, second request); - the rank of an instance counted live rows only: in an outage of the store longer than 16 s each instance was alone and sent two fifths of the rate by itself (TestRank).

--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -30,7 +30,9 @@
 	connUsedAt time.Time
 	servedAt   time.Time
 	avoidUntil time.Time
-	// limitedUntil is when the endpoint's rate may allow another request.
+	// allowedAt is when the endpoint's rate is expected to allow another request;
+	// until limitedUntil, which may be earlier, it is not asked for one.
+	allowedAt    time.Time
 	limitedUntil time.Time
 }
 
@@ -151,25 +153,43 @@
 // for the first that will within c.patience. If there is none, retryIn is the time
 // after which a request may be allowed, zero if it is not the rate that keeps it.
 func (g *Gateway) acquire(ctx context.Context, c choice) (endpoint registry.Endpoint, retryIn time.Duration, found bool) {
-	var soonest registry.Endpoint
 	for {
 		endpoint, found = g.choose(c)
 		if !found {
 			break
 		}
-		wait, admitted := g.admit(ctx, c, endpoint, 0)
-		if admitted {
+		if _, admitted := g.admit(ctx, c, endpoint, 0); admitted {
 			return endpoint, 0, true
 		}
-		if retryIn == 0 || wait < retryIn {
-			soonest, retryIn = endpoint, wait
-		}
 	}
-	if retryIn == 0 || retryIn > c.patience {
+	endpoint, retryIn, found = g.soonestAllowed(c)
+	if !found || retryIn > c.patience {
 		return registry.Endpoint{}, retryIn, false
 	}
-	wait, admitted := g.admit(ctx, c, soonest, c.patience)
-	return soonest, wait, admitted
+	retryIn, found = g.admit(ctx, c, endpoint, c.patience)
+	return endpoint, retryIn, found
+}
+
+// soonestAllowed returns the endpoint that only its rate keeps from a request, and
+// which is expected to allow one first.
+func (g *Gateway) soonestAllowed(c choice) (soonest registry.Endpoint, wait time.Duration, found bool) {
+	if !g.mayServe(c.route) {
+		return soonest, 0, false
+	}
+	endpoints := g.registry.Endpoints(c.service)
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, endpoint := range endpoints {
+		state := g.stateOf(endpoint.ID)
+		if c.tried[endpoint.ID] || !now.Before(state.limitedUntil) || !c.hasRoom(endpoint, state.running) {
+			continue
+		}
+		if until := state.allowedAt.Sub(now); !found || until < wait {
+			soonest, wait, found = endpoint, until, true
+		}
+	}
+	return soonest, max(wait, 0), found
 }
 
 // admit asks whether an endpoint's rate allows a request within patience, and leaves
@@ -184,9 +204,11 @@
 		return 0, true
 	}
 	wait = max(wait, time.Millisecond)
+	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.stateOf(endpoint.ID).limitedUntil = g.clock.Now().Add(min(wait, maxLimitedTime))
+	state := g.stateOf(endpoint.ID)
+	state.allowedAt, state.limitedUntil = now.Add(wait), now.Add(min(wait, maxLimitedTime))
 	return wait, false
 }
 
--- a/src/ratelimit/gate.go
+++ b/src/ratelimit/gate.go
@@ -73,9 +73,11 @@
 	epoch   int64
 	// usedSlots has the last slot that this instance used of an endpoint.
 	usedSlots map[process]int64
-	// granterDownUntil is when the granter may be asked again.
-	granterDownUntil time.Time
-	counts           counts
+	// askAgainAt is when the granter of failedEpoch, which gave no answer, may be
+	// asked again.
+	failedEpoch int64
+	askAgainAt  time.Time
+	counts      counts
 }
 
 // Option configures a Gate.
--- a/src/ratelimit/gate_test.go
+++ b/src/ratelimit/gate_test.go
@@ -179,6 +179,23 @@
 		c.gates["b"].Take(context.Background(), limitedEndpoint, 0)
 	}
 	assert.Equal(t, c.calls, 1)
+	c.leases["b"].holder, c.leases["b"].epoch = "z", 2
+	c.gates["b"].Take(context.Background(), limitedEndpoint, 0)
+	assert.Equal(t, c.calls, 2, "the next granter is asked at once")
+}
+
+// TestCallerThatLeft ends a request while the granter is asked: that says nothing
+// of the granter.
+func TestCallerThatLeft(t *testing.T) {
+	c := newCluster("a", "b")
+	c.hear("b", limitedEndpoint, named(1))
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	c.cut["a"] = true
+	c.gates["b"].Take(left, limitedEndpoint, 0)
+	c.cut["a"] = false
+	_, admitted := c.gates["b"].Take(context.Background(), limitedEndpoint, 0)
+	assert.Assert(t, admitted)
 }
 
 // TestAdmit checks each kind of request at the gate: without admission it takes one,
--- a/src/ratelimit/service.go
+++ b/src/ratelimit/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/lease"
 	"sesamepitch/src/supervisor"
 )
 
@@ -78,19 +79,21 @@
 // with another error if the granter gave no answer.
 func (g *Gate) ask(ctx context.Context, id process, perSecond float64, patience time.Duration) (time.Duration, error) {
 	record := g.lease.Record()
-	if record.Address == "" || record.Holder == "" || !g.mayAskGranter() {
+	if record.Address == "" || record.Holder == "" || !g.mayAsk(record.Epoch) {
 		return 0, errNoGranter
 	}
-	ctx, cancel := context.WithTimeout(ctx, granterTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, granterTimeout)
 	defer cancel()
 	question := Question{Statement: g.statements.of(id), PerSecond: perSecond, Patience: patience}
 	var reply Grant
-	err := g.peers.Call(ctx, record.Address, serviceName+".Ask", question, &reply)
+	err := g.peers.Call(callCtx, record.Address, serviceName+".Ask", question, &reply)
 	if err == nil && reply.NotGranter {
 		err = errNotGranter
 	}
 	if err != nil {
-		g.granterFailed(record.Holder, err)
+		if ctx.Err() == nil { // else the request has ended, which says nothing of the granter
+			g.granterFailed(record, err)
+		}
 		return 0, &Error{Op: "ask " + record.Holder, Kind: sesamepitch.KindOf(err), Err: err}
 	}
 	g.statements.Merge([]Statement{reply.Statement})
@@ -100,18 +103,19 @@
 	return reply.Wait, nil
 }
 
-func (g *Gate) mayAskGranter() bool {
+// mayAsk reports whether the granter of an epoch may be asked.
+func (g *Gate) mayAsk(epoch int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.clock.Now().Before(g.granterDownUntil)
+	return epoch != g.failedEpoch || !g.clock.Now().Before(g.askAgainAt)
 }
 
 // granterFailed keeps the granter from being asked for a while.
-func (g *Gate) granterFailed(holder string, err error) {
+func (g *Gate) granterFailed(granter lease.Record, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.granterDownUntil = g.clock.Now().Add(granterRetryDelay)
-	g.log.Info("granter of requests not available", "instance", holder, "cause", err.Error())
+	g.failedEpoch, g.askAgainAt = granter.Epoch, g.clock.Now().Add(granterRetryDelay)
+	g.log.Info("granter of requests not available", "instance", granter.Holder, "epoch", granter.Epoch, "cause", err.Error())
 }
 
 // Run tells the granter what this instance hears of limits, and the granter's
--- a/src/registry/members.go
+++ b/src/registry/members.go
@@ -168,15 +168,15 @@
 	return max(len(m.members), 1)
 }
 
-// Rank returns the position of this instance's name among those of the live
-// instances, and their number; ok is false while no rows were read.
+// Rank returns the position of this instance's name among those of all instances
+// with a row, and their number; ok is false while no rows were read. Rows that are
+// out of date count: during an outage of the store all are.
 func (m *Members) Rank() (rank, count int, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.clock.Now()
 	count = 1
-	for name, other := range m.members {
-		if name == m.name || now.Sub(other.seenAt) >= memberTTL {
+	for name := range m.members {
+		if name == m.name {
 			continue
 		}
 		count++
