--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -297,15 +297,11 @@
 	return short && s.clock.Now().Sub(at) < shortageTime
 }
 
-// maxLimitedTime bounds how long an engine is left out after its rate allowed no
-// item: its limit may end before.
-const maxLimitedTime = time.Second
-
 // admit reports whether an engine's rate allows an item now.
 func (s *session) admit(e *engine, now time.Time) bool {
 	retryIn, admitted := s.limits.TryTake(e.destination())
 	if !admitted {
-		e.limitedUntil = now.Add(min(max(retryIn, time.Millisecond), maxLimitedTime))
+		e.limitedUntil = now.Add(min(max(retryIn, time.Millisecond), sesamepitch.MaxDeniedTime))
 	}
 	return admitted
 }
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -145,10 +145,6 @@
 	return best.endpoint, found
 }
 
-// maxLimitedTime bounds how long an endpoint is left out after its rate allowed no
-// request: its limit may end before.
-const maxLimitedTime = time.Second
-
 // acquire chooses an endpoint whose rate allows the request. Without one it waits
 // for the first that will within c.patience. If there is none, retryIn is the time
 // after which a request may be allowed, zero if it is not the rate that keeps it.
@@ -208,7 +204,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	state := g.stateOf(endpoint.ID)
-	state.allowedAt, state.limitedUntil = now.Add(wait), now.Add(min(wait, maxLimitedTime))
+	state.allowedAt, state.limitedUntil = now.Add(wait), now.Add(min(wait, sesamepitch.MaxDeniedTime))
 	return wait, false
 }
 
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -60,6 +60,10 @@
 	Answered(to Destination, sent time.Time, limit StatedLimit)
 }
 
+// MaxDeniedTime bounds how long an endpoint is left out after a RateLimiter has
+// admitted no request to it: its limit may end before.
+const MaxDeniedTime = time.Second
+
 // RateLimiter admits requests to endpoints whose rate is limited over all
 // instances.
 type RateLimiter interface {
