A limit that falls is no violation of endpoint_rate; a method without callers goes

Cause: the invariant counted requests granted by the former rate against the new one. Evidence: TestFallIsNoViolation failed (1 violation). Change: the count begins anew with the rate.

--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -100,13 +100,6 @@
 	return counts
 }
 
-// holdsLease reports whether this process still holds the lease of the session: a
-// process that was paused may go on as if nothing had happened.
-func (l *loader) holdsLease() bool {
-	epoch, _, held := l.lease.Held()
-	return held && epoch == l.epoch
-}
-
 // mayOrder reports whether an order sent now arrives before the lease expires.
 func (l *loader) mayOrder() bool {
 	epoch, until, held := l.lease.Held()
--- a/src/ratelimit/budget.go
+++ b/src/ratelimit/budget.go
@@ -17,7 +17,8 @@
 // budget grants requests to one endpoint at a rate. It is the granter's.
 type budget struct {
 	limiter *rate.Limiter
-	// granted are the times of the requests granted within the last second.
+	// granted are the times of the requests granted by the present rate within the
+	// last second.
 	granted []time.Time
 }
 
@@ -37,6 +38,7 @@
 	if float64(b.limiter.Limit()) != perSecond {
 		b.limiter.SetLimitAt(now, rate.Limit(perSecond))
 		b.limiter.SetBurstAt(now, burstOf(perSecond))
+		b.granted = nil
 	}
 	reservation := b.limiter.ReserveN(now, 1)
 	wait = reservation.DelayFrom(now)
--- a/src/ratelimit/gate_test.go
+++ b/src/ratelimit/gate_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	sesamepitch "sesamepitch/src"
+	"sesamepitch/src/invariant"
 	"sesamepitch/src/lease"
 
 	"github.com/go-logr/logr"
@@ -136,6 +137,20 @@
 	}
 }
 
+// TestFallIsNoViolation lowers a limit right after many requests were granted by
+// the former one: they violate nothing, and the new one holds at once.
+func TestFallIsNoViolation(t *testing.T) {
+	c := newCluster("a")
+	checks := invariant.New(logr.Discard())
+	c.gates["a"].checks = checks
+	c.hear("a", limitedEndpoint, named(50))
+	c.sendFor(2*time.Second, limitedEndpoint)
+	c.hear("a", limitedEndpoint, named(1))
+	sent := c.sendFor(10*time.Second, limitedEndpoint)
+	assert.Assert(t, len(sent) <= 10+burstOf(1), "%d", len(sent))
+	assert.Equal(t, len(checks.Violations()), 0)
+}
+
 // TestKnownToAll has one instance hear of a limit and of its end: the granter is
 // told, publishes it, and instances that sent nothing know it.
 func TestKnownToAll(t *testing.T) {
@@ -202,7 +217,8 @@
 // and none passes that the rate does not allow.
 func TestAdmit(t *testing.T) {
 	c := newCluster("a")
-	gate := c.gates["a"]
+	gate, checks := c.gates["a"], invariant.New(logr.Discard())
+	gate.checks = checks
 	c.hear("a", limitedEndpoint, named(1))
 	for i, purpose := range sesamepitch.Purposes {
 		err := gate.Admit(context.Background(), limitedEndpoint, purpose)
@@ -214,6 +230,7 @@
 	admitted := limitedEndpoint
 	admitted.Admitted = true
 	assert.NilError(t, gate.Admit(context.Background(), admitted, sesamepitch.PurposeItem))
+	assert.Equal(t, len(checks.Violations()), 0)
 	all, limited, denied := gate.Sent(sesamepitch.PurposeItem)
 	assert.DeepEqual(t, []int{all, limited, denied}, []int{1, 1, 1})
 }
