A request asks each limited endpoint once, not until its deadline

Cause: an endpoint counted as left out only until its next request was expected, which may be a millisecond; where others are quicker each time, acquire asked again and again. Change: what denied the request is not chosen again; the first to take one again is asked once more if the request can wait.

--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -99,6 +99,8 @@
 	// immediate requests ask no other instance about it either.
 	patience  time.Duration
 	immediate bool
+	// denied are the endpoints whose rate did not allow the request just now.
+	denied map[string]bool
 }
 
 // hasRoom reports whether an endpoint with this many running requests may get
@@ -126,7 +128,7 @@
 		}
 		state := g.stateOf(endpoint.ID)
 		avoided := now.Before(state.avoidUntil) || c.avoided[endpoint.ID]
-		if now.Before(state.limitedUntil) {
+		if now.Before(state.limitedUntil) || c.denied[endpoint.ID] {
 			continue
 		}
 		if !c.hasRoom(endpoint, state.running) {
@@ -149,11 +151,13 @@
 // for the first that will within c.patience. If there is none, retryIn is the time
 // after which a request may be allowed, zero if it is not the rate that keeps it.
 func (g *Gateway) acquire(ctx context.Context, c choice) (endpoint registry.Endpoint, retryIn time.Duration, found bool) {
+	c.denied = map[string]bool{}
 	for {
 		endpoint, found = g.choose(c)
 		if !found {
 			break
 		}
+		c.denied[endpoint.ID] = true
 		if _, admitted := g.admit(ctx, c, endpoint, 0); admitted {
 			return endpoint, 0, true
 		}
@@ -178,7 +182,8 @@
 	defer g.mu.Unlock()
 	for _, endpoint := range endpoints {
 		state := g.stateOf(endpoint.ID)
-		if c.tried[endpoint.ID] || !now.Before(state.limitedUntil) || !c.hasRoom(endpoint, state.running) {
+		limited := c.denied[endpoint.ID] || now.Before(state.limitedUntil)
+		if !limited || c.tried[endpoint.ID] || !c.hasRoom(endpoint, state.running) {
 			continue
 		}
 		if until := state.allowedAt.Sub(now); !found || until < wait {
--- a/src/gateway/limit_test.go
+++ b/src/gateway/limit_test.go
@@ -144,3 +144,30 @@
 	_, due = g.nextKeepAlive("desk")
 	assert.Assert(t, !due)
 }
+
+// slowDenial denies each request after a while, as if another one had been quicker
+// each time.
+type slowDenial struct {
+	sesamepitch.OpenGate
+	asked int
+}
+
+func (l *slowDenial) Take(context.Context, sesamepitch.Destination, time.Duration) (time.Duration, bool) {
+	l.asked++
+	time.Sleep(3 * time.Millisecond)
+	return time.Millisecond, false
+}
+
+// TestEndpointsAreAskedOnce has all endpoints' rates used up by others again and
+// again: the request asks each of them once, and the first to take one again once
+// more, and is refused.
+func TestEndpointsAreAskedOnce(t *testing.T) {
+	g := newGateway(&forwarder{answer: scored}, &meter{}, "a", "b", "c")
+	limits := &slowDenial{}
+	g.limits = limits
+	admission, err := g.Admit("h", "/safe/x", "k")
+	assert.NilError(t, err)
+	_, err = g.Serve(context.Background(), admission, sesamepitch.Request{ID: "r"})
+	assert.ErrorIs(t, err, errLimited)
+	assert.Equal(t, limits.asked, 4)
+}
