Waits and left-out times that stood twice are one; an engine is not copied to judge it

Found when the whole change was read again; behaviour as before: - the wait that depends on a route's latency target was worked out for late tries and for limits, each by itself (initialPatience); - gateway and driver bounded the time for which a denied endpoint is left out with the same expression (DeniedTime); - hasLimited copied each engine to ask what it would be without its limit, at each step for each item that waits (fitsButForRate). Tests unchanged.

--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -186,6 +186,12 @@
 
 // fits reports whether an engine may get an item now.
 func (e *engine) fits(now time.Time, req requirement) bool {
+	return !now.Before(e.limitedUntil) && e.fitsButForRate(now, req)
+}
+
+// fitsButForRate reports whether an engine may get an item as soon as its rate
+// allows one.
+func (e *engine) fitsButForRate(now time.Time, req requirement) bool {
 	version := e.versions[req.model]
 	if e.loadingModel == req.model {
 		version = e.loadingVersion
@@ -193,7 +199,7 @@
 	switch {
 	case !e.listed || e.entry.Draining || e.entry.Service != req.service || !e.entry.LeavesAt.IsZero():
 		return false
-	case e.running >= e.entry.Slots || now.Before(e.overloadedUntil) || now.Before(e.suspectedUntil) || now.Before(e.limitedUntil):
+	case e.running >= e.entry.Slots || now.Before(e.overloadedUntil) || now.Before(e.suspectedUntil):
 		return false
 	case version < req.minVersion || req.exact > 0 && version != req.exact:
 		return false
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -266,9 +266,7 @@
 // hasLimited reports whether an engine would fit if its rate allowed the item.
 func (s *session) hasLimited(now time.Time, req requirement) bool {
 	for _, e := range s.engineStates {
-		unlimited := *e
-		unlimited.limitedUntil = time.Time{}
-		if now.Before(e.limitedUntil) && unlimited.fits(now, req) {
+		if now.Before(e.limitedUntil) && e.fitsButForRate(now, req) {
 			return true
 		}
 	}
@@ -301,7 +299,7 @@
 func (s *session) admit(e *engine, now time.Time) bool {
 	retryIn, admitted := s.limits.TryTake(e.destination())
 	if !admitted {
-		e.limitedUntil = now.Add(min(max(retryIn, time.Millisecond), sesamepitch.MaxDeniedTime))
+		e.limitedUntil = now.Add(sesamepitch.DeniedTime(retryIn))
 	}
 	return admitted
 }
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -204,12 +204,12 @@
 	if admitted {
 		return 0, true
 	}
-	wait = max(wait, time.Millisecond)
+	wait = max(wait, sesamepitch.MinDeniedTime)
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	state := g.stateOf(endpoint.ID)
-	state.allowedAt, state.limitedUntil = now.Add(wait), now.Add(min(wait, sesamepitch.MaxDeniedTime))
+	state.allowedAt, state.limitedUntil = now.Add(wait), now.Add(sesamepitch.DeniedTime(wait))
 	return wait, false
 }
 
--- a/src/gateway/dispatch.go
+++ b/src/gateway/dispatch.go
@@ -101,11 +101,17 @@
 // patience returns how long an endpoint may work on the request before another one
 // gets it, too.
 func (d *dispatch) patience() time.Duration {
-	initial := d.admission.Route.LatencyTarget / 2
-	if initial <= 0 {
-		initial = defaultPatience
+	route := d.admission.Route
+	return d.gateway.latencyOf(route.Name).Patience(initialPatience(route), minPatience)
+}
+
+// initialPatience returns how long a request may wait at one point while nothing is
+// known of how long the route's answers take.
+func initialPatience(route registry.Route) time.Duration {
+	if route.LatencyTarget <= 0 {
+		return defaultPatience
 	}
-	return d.gateway.latencyOf(d.admission.Route.Name).Patience(initial, minPatience)
+	return route.LatencyTarget / 2
 }
 
 // acquire returns an endpoint for the next try. Only a request without any try under
@@ -123,10 +129,7 @@
 // limitPatience returns how long the request may wait for an endpoint's rate to
 // allow it: it still has to be answered in time.
 func (d *dispatch) limitPatience() time.Duration {
-	patience := d.admission.Route.LatencyTarget / 2
-	if patience <= 0 {
-		patience = defaultPatience
-	}
+	patience := initialPatience(d.admission.Route)
 	if !d.deadline.IsZero() {
 		patience = min(patience, d.deadline.Sub(d.gateway.clock.Now())/2)
 	}
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -60,9 +60,18 @@
 	Answered(to Destination, sent time.Time, limit StatedLimit)
 }
 
-// MaxDeniedTime bounds how long an endpoint is left out after a RateLimiter has
-// admitted no request to it: its limit may end before.
-const MaxDeniedTime = time.Second
+// MinDeniedTime and maxDeniedTime bound how long an endpoint is left out after a
+// RateLimiter has admitted no request to it: its limit may end earlier.
+const (
+	MinDeniedTime = time.Millisecond
+	maxDeniedTime = time.Second
+)
+
+// DeniedTime returns how long an endpoint is left out after a RateLimiter has
+// admitted no request to it.
+func DeniedTime(retryIn time.Duration) time.Duration {
+	return min(max(retryIn, MinDeniedTime), maxDeniedTime)
+}
 
 // RateLimiter admits requests to endpoints whose rate is limited over all
 // instances.
