--- a/review/standin/models.go
+++ b/review/standin/models.go
@@ -7,8 +7,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -18,18 +16,14 @@
 // Figures of the case "models".
 const (
 	otherModel = "rada7437b5"
-	modelSlots = 16
+	modelSlots = 8
 	loadTime   = 900 * time.Millisecond
-	// modelItems is the size of the step. shortItems of them end after shortEvents,
-	// the others after longEvents.
-	modelItems  = 16
-	shortItems  = 12
-	shortEvents = 5
-	longEvents  = 30
+	// modelItems is the size of the step: one group.
+	modelItems = 4
 	// newestVersion is named last; the step allows the one before it and newer.
 	newestVersion = 3
 	versionGap    = 4 * time.Second
-	loseAfter     = 2500 * time.Millisecond
+	loseAfter     = 1500 * time.Millisecond
 	silentTime    = 3600 * time.Millisecond
 	modelsCalm    = 8 * time.Second
 )
@@ -158,7 +152,7 @@
 		"name": "r-train", "path_prefix": "/train/", "kind": "rollout", "timeout_ms": 10000, "target_latency_ms": 400,
 		"priority": 1, "service": "workshop", "max_attempts": 3, "queue_ttl_s": 40, "result_deadline_ms": 7500,
 	})
-	engines := &engineSet{gap: aloneGap, events: eventsOfItem}
+	engines := &engineSet{gap: aloneGap, events: func(string) int { return aloneEvents }}
 	workers := map[string]*modelWorker{}
 	for n := range 2 {
 		w, err := b.startModelWorker(fmt.Sprintf("i-lm-%d", n+1), zones[n], engines)
@@ -189,17 +183,8 @@
 	return b.stepOnLostWorker(engines, workers)
 }
 
-// eventsOfItem returns the length of an item's output, by the item's number in its ID.
-func eventsOfItem(item string) int {
-	number, err := strconv.Atoi(item[strings.LastIndex(item, "-")+1:])
-	if err == nil && number < shortItems {
-		return shortEvents
-	}
-	return longEvents
-}
-
-// stepOnLostWorker sends a step of the model whose worker is lost, loses that worker
-// once the short items are done, and judges the others.
+// stepOnLostWorker sends a step, loses the worker that has its items, and judges
+// them.
 func (b *bench) stepOnLostWorker(engines *engineSet, workers map[string]*modelWorker) (verdict, error) {
 	at, sentAt := b.instances[0], time.Now()
 	status, _ := call(http.MethodPost, at.frontend, "/train/"+lastJob, lastJob, jobOf(lastJob, modelItems, otherModel, newestVersion-1))
