--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -33,11 +33,6 @@
 	// instances started later take it: in a rolling restart they are not the
 	// next to stop.
 	agedDelay = 250 * time.Millisecond
-	// yieldAfter is how long an instance with more cores must be known before
-	// this one releases the lease, and yieldBackoff how long this one then
-	// leaves the lease alone.
-	yieldAfter   = 4 * time.Second
-	yieldBackoff = 4 * time.Second
 	// defaultRetention applies where the settings set no retention.
 	defaultRetention = 10 * time.Minute
 	// leaseTimeout bounds one step of the lease, so that a holder can try twice
@@ -53,10 +48,15 @@
 	return lease.New(clock, table, LeaseKey, instance, address, lease.SettingsFor(takeoverTime))
 }
 
-// Eligibility reports whether this instance should hold the driver lease.
+// Eligibility compares this instance with the others, so that the one best suited
+// holds the driver lease; *registry.Members implements it.
 type Eligibility interface {
-	// IsStrong reports whether no other instance has notably more cores.
-	IsStrong() bool
+	// IsSettled reports whether all instances have had time to announce themselves.
+	IsSettled() bool
+	// Stronger returns the live instances with notably more cores.
+	Stronger() []registry.Member
+	// Others returns the other live instances.
+	Others() []registry.Member
 	// IsAged reports whether another instance started notably later.
 	IsAged() bool
 }
@@ -75,8 +75,11 @@
 	lease       *lease.Lease
 	instance    string
 	eligibility Eligibility
-	checks      *invariant.Recorder
-	retention   time.Duration
+	// peers reaches the instances that could take the lease over; nil if none can
+	// be reached.
+	peers     sesamepitch.PeerCaller
+	checks    *invariant.Recorder
+	retention time.Duration
 	// observeReward receives the outcome of each try of a reward call.
 	observeReward RewardObserver
 	leaving       chan struct{}
@@ -85,9 +88,8 @@
 	left         chan struct{}
 	leaveTimeout time.Duration
 	// weakSince is when this instance, as the holder, first saw one with more
-	// cores; until backoffUntil it does not contend for the lease.
-	weakSince    time.Time
-	backoffUntil time.Time
+	// cores, or was last told that this one does not take the lease.
+	weakSince time.Time
 
 	mu sync.Mutex
 	// current is the running session, which receives hints; nil if there is
@@ -115,6 +117,12 @@
 	return func(d *Driver) { d.limits = limits }
 }
 
+// WithPeers sets the caller of other instances. A driver without it never leaves
+// the lease to one with more cores.
+func WithPeers(peers sesamepitch.PeerCaller) Option {
+	return func(d *Driver) { d.peers = peers }
+}
+
 // RewardObserver receives the kind of error of a reward call's try, empty for a
 // score, and the time that the try took.
 type RewardObserver func(kind sesamepitch.Kind, latency time.Duration)
@@ -187,9 +195,7 @@
 		}
 	}()
 	for {
-		if !d.clock.Now().Before(d.backoffUntil) {
-			d.stepLease(ctx)
-		}
+		d.stepLease(ctx)
 		current = d.syncSession(ctx, current)
 		current = d.yield(ctx, current)
 		select {
@@ -205,8 +211,8 @@
 	}
 }
 
-// shutDown hands the running session over as soon as the store answers, or when
-// the timeout expires, and releases the lease.
+// shutDown hands the running session over as soon as the store answers and another
+// instance can take it, or when the timeout expires, and releases the lease.
 func (d *Driver) shutDown(ctx context.Context, current *activeSession) {
 	defer close(d.left)
 	until := d.clock.Now().Add(d.leaveTimeout)
@@ -215,7 +221,9 @@
 		if current = d.syncSession(ctx, current); current == nil {
 			break
 		}
-		if _, _, held := d.lease.Held(); answered && held || !d.clock.Now().Before(until) {
+		_, _, held := d.lease.Held()
+		canHandOver := answered && held && len(d.eligibility.Others()) > 0
+		if canHandOver || !d.clock.Now().Before(until) {
 			d.handOver(ctx, current)
 			break
 		}
@@ -240,18 +248,6 @@
 	return true
 }
 
-// acquireDelay returns how much longer than others this instance waits for a
-// lease that lapsed and for one that was released.
-func (d *Driver) acquireDelay() (lapsed, released time.Duration) {
-	switch {
-	case !d.eligibility.IsStrong():
-		return weakDelay, weakDelay
-	case d.eligibility.IsAged():
-		return 0, agedDelay
-	}
-	return 0, 0
-}
-
 // pause returns the time until the next step of the lease.
 func (d *Driver) pause() time.Duration {
 	return min(d.lease.StepDelay(renewInterval)+rand.N(contentionJitter), renewInterval)
@@ -286,28 +282,6 @@
 	return d.start(ctx, epoch)
 }
 
-// yield hands the lease over once an instance with more cores has been known
-// for yieldAfter.
-func (d *Driver) yield(ctx context.Context, current *activeSession) *activeSession {
-	now := d.clock.Now()
-	if current == nil || d.eligibility.IsStrong() {
-		d.weakSince = time.Time{}
-		return current
-	}
-	if d.weakSince.IsZero() {
-		d.weakSince = now
-	}
-	if now.Sub(d.weakSince) < yieldAfter {
-		return current
-	}
-	d.log.Info("leaving the driver lease to an instance with more cores", "epoch", current.epoch)
-	d.handOver(ctx, current)
-	d.release(ctx)
-	d.weakSince = time.Time{}
-	d.backoffUntil = d.clock.Now().Add(yieldBackoff)
-	return nil
-}
-
 func (d *Driver) start(ctx context.Context, epoch int64) *activeSession {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
--- a/src/driver/fixture_test.go
+++ b/src/driver/fixture_test.go
@@ -43,17 +43,24 @@
 	return f
 }
 
-// eligible reports that no other instance is better suited.
+// eligible reports that there are others, but none better suited.
 type eligible struct{}
 
-func (eligible) IsStrong() bool { return true }
-func (eligible) IsAged() bool   { return false }
+func (eligible) IsSettled() bool             { return true }
+func (eligible) IsAged() bool                { return false }
+func (eligible) Stronger() []registry.Member { return nil }
+func (eligible) Others() []registry.Member   { return []registry.Member{{Name: "other"}} }
 
 // newDriver returns the driver of an instance that peers reach at address.
 func (f *fixture) newDriver(instance, address string, options ...driver.Option) *driver.Driver {
+	return f.newDriverAs(instance, address, eligible{}, options...)
+}
+
+// newDriverAs is newDriver for an instance that is as eligible as given.
+func (f *fixture) newDriverAs(instance, address string, eligibility driver.Eligibility, options ...driver.Option) *driver.Driver {
 	clock := sesamepitch.SystemClock{}
 	driverLease := driver.NewLease(clock, f.store, instance, address, 3*time.Second)
-	return driver.New(clock, logr.Discard(), f.store, f.ledger, f.registry, f.engines, f.engines, f.rewards, driverLease, instance, eligible{}, options...)
+	return driver.New(clock, logr.Discard(), f.store, f.ledger, f.registry, f.engines, f.engines, f.rewards, driverLease, instance, eligibility, options...)
 }
 
 // disableFeed makes the store refuse its change feed.
@@ -74,7 +81,11 @@
 
 // startDriverWith is startDriver with options.
 func (f *fixture) startDriverWith(instance string, options ...driver.Option) (leave, kill func()) {
-	d := f.newDriver(instance, "", options...)
+	return f.start(f.newDriver(instance, "", options...))
+}
+
+// start runs a driver.
+func (f *fixture) start(d *driver.Driver) (leave, kill func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(ctx) }()
--- a/src/lease/lease.go
+++ b/src/lease/lease.go
@@ -102,6 +102,8 @@
 	otherEpoch int64
 	// holdOffUntil is when fenced calls are allowed again if the lease is held.
 	holdOffUntil time.Time
+	// readAt is when the row was last read.
+	readAt time.Time
 	// readFailed is set after a failed read of the row until the next successful one.
 	readFailed bool
 }
@@ -189,6 +191,14 @@
 	return l.record
 }
 
+// ReadAt returns when this process, as a contender, last read the row; zero if it
+// never has.
+func (l *Lease) ReadAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.readAt
+}
+
 // Step renews a held lease, or takes one that has lapsed or was released. An error
 // means that the table could not be read or written.
 func (l *Lease) Step(ctx context.Context) error {
@@ -332,6 +342,7 @@
 		l.readFailed = true
 		return err
 	}
+	l.readAt = l.clock.Now()
 	l.setRow(row, version)
 	return nil
 }
--- a/src/registry/members.go
+++ b/src/registry/members.go
@@ -191,19 +191,46 @@
 // instance counts as equally large.
 const similarCoresRatio = 0.9
 
-// IsStrong reports whether no live instance has notably more cores than this one.
-// It is false while no other instance is known, and until all instances have had
-// discoveryTime to write their rows.
-func (m *Members) IsStrong() bool {
+// Member is a live instance.
+type Member struct {
+	Name string
+	// Address is where peers reach it.
+	Address string
+	// Cores is the number of CPU cores available to it.
+	Cores float64
+}
+
+// IsSettled reports whether all instances have had discoveryTime to write their
+// rows.
+func (m *Members) IsSettled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.firstRowsAt.IsZero() && m.clock.Now().Sub(m.firstRowsAt) >= discoveryTime
+}
+
+// Stronger returns the live instances with notably more cores than this one.
+func (m *Members) Stronger() []Member {
+	var stronger []Member
+	for _, other := range m.Others() {
+		if m.cores < similarCoresRatio*other.Cores {
+			stronger = append(stronger, other)
+		}
+	}
+	return stronger
+}
+
+// Others returns the other live instances in any order.
+func (m *Members) Others() []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	for _, other := range m.members {
-		if now.Sub(other.seenAt) < memberTTL && m.cores < similarCoresRatio*other.cores {
-			return false
+	var others []Member
+	for name, other := range m.members {
+		if name != m.name && now.Sub(other.seenAt) < memberTTL {
+			others = append(others, Member{Name: name, Address: other.address, Cores: other.cores})
 		}
 	}
-	return len(m.members) > 1 && now.Sub(m.firstRowsAt) >= discoveryTime
+	return others
 }
 
 // minStartGap is the difference above which another instance counts as started
--- a/src/registry/registry_test.go
+++ b/src/registry/registry_test.go
@@ -189,7 +189,7 @@
 	store := standin.NewMemory()
 	weak := registry.NewMembers(clock, logr.Discard(), store, "weak", "dc-1", "10.0.0.1:1", 0.2, []string{"10.0.0.9:1", "10.0.0.1:1"}, quarantine.New(clock))
 	assert.DeepEqual(t, weak.Peers(), []string{"10.0.0.9:1"})
-	assert.Assert(t, !weak.IsStrong(), "no other instance is known")
+	assert.Assert(t, !weak.IsSettled(), "no other instance is known")
 	rows := []sesamepitch.Row{
 		{Key: "member//weak", Value: []byte(`{"address":"10.0.0.1:1","centre":"dc-1","cores":0.2}`)},
 		{Key: "member//strong", Value: []byte(`{"address":"10.0.0.2:1","centre":"dc-2","cores":0.8}`)},
@@ -198,14 +198,15 @@
 	weak.Apply(registry.Update{Rows: rows, Complete: true})
 	strong := registry.NewMembers(clock, logr.Discard(), store, "strong", "dc-2", "10.0.0.2:1", 0.8, nil, quarantine.New(clock))
 	strong.Apply(registry.Update{Rows: rows, Complete: true})
-	assert.Assert(t, !strong.IsStrong(), "other instances may not have written their rows yet")
+	assert.Assert(t, !strong.IsSettled(), "other instances may not have written their rows yet")
 	clock.Advance(1200 * time.Millisecond)
-	assert.Assert(t, strong.IsStrong())
-	assert.Assert(t, !weak.IsStrong())
+	assert.Assert(t, strong.IsSettled() && weak.IsSettled())
+	assert.Equal(t, len(strong.Stronger()), 0)
+	assert.DeepEqual(t, weak.Stronger(), []registry.Member{{Name: "strong", Address: "10.0.0.2:1", Cores: 0.8}})
 	assert.DeepEqual(t, weak.RemotePeers(), []string{"10.0.0.2:1"})
 	assert.DeepEqual(t, weak.Peers(), []string{"10.0.0.2:1", "10.0.0.9:1"})
 	clock.Advance(20 * time.Second)
-	assert.Assert(t, weak.IsStrong(), "the row of the instance with more cores has expired")
+	assert.Assert(t, weak.IsSettled() && len(weak.Stronger()) == 0, "the row of the instance with more cores has expired")
 	assert.DeepEqual(t, weak.Peers(), []string{"10.0.0.9:1"})
 }
 
