Rows of dead instances count for nothing and are removed

A row's version now tells a renewal; rows missing from a whole read go. - Nothing removed the row of an instance that ended without leaving.

Tests: TestRowReadAgainIsNoRenewal, TestDeadInstanceTakesNoShare (both new behaviour); TestMembers asserts the new answers of RemotePeers and Peers.

--- a/src/instance/isolation.go
+++ b/src/instance/isolation.go
@@ -81,18 +81,19 @@
 // centres still answer and this one stays ready.
 func (i *Instance) watchIsolation(ctx context.Context) error {
 	return supervisor.Every(ctx, i.clock, isolationInterval, func(ctx context.Context) {
-		age := i.clock.Now().Sub(i.store.LastContact())
-		isolated := age > maxContactAge && i.gateway.Ready() && i.noPeerAnswers(ctx)
+		contact := i.store.LastContact()
+		age := i.clock.Now().Sub(contact)
+		isolated := age > maxContactAge && i.gateway.Ready() && i.noPeerAnswers(ctx, contact)
 		if i.isolation.set(isolated) {
 			i.log.Info("isolation", "isolated", isolated, "contact_age_ms", age.Milliseconds())
 		}
 	})
 }
 
-// noPeerAnswers reports whether instances of other data centres are known and
-// none of those pinged answers.
-func (i *Instance) noPeerAnswers(ctx context.Context) bool {
-	addresses := i.members.RemotePeers()
+// noPeerAnswers reports whether instances of other data centres were live at the
+// last contact with the store and none of those pinged answers.
+func (i *Instance) noPeerAnswers(ctx context.Context, lastContact time.Time) bool {
+	addresses := i.members.RemotePeers(lastContact)
 	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
 	addresses = addresses[:min(maxPinged, len(addresses))]
 	answers := make(chan bool, len(addresses))
--- a/src/registry/members.go
+++ b/src/registry/members.go
@@ -1,16 +1,15 @@
 package registry
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/quarantine"
 	"sesamepitch/src/ratelimit"
-	"sesamepitch/src/rowstore"
 
 	"github.com/go-logr/logr"
 )
@@ -19,13 +18,6 @@
 const MemberTable = "member"
 
 const (
-	// announceInterval is the time between renewals of this instance's row.
-	announceInterval = 5 * time.Second
-	// announceRetryDelay is the delay after a failed renewal.
-	announceRetryDelay = 500 * time.Millisecond
-	announceTimeout    = 1500 * time.Millisecond
-	// minAnnounceInterval is the minimum time between two renewals.
-	minAnnounceInterval = 200 * time.Millisecond
 	// discoveryTime is how long instances that start together may take to write
 	// their rows.
 	discoveryTime = 1200 * time.Millisecond
@@ -87,6 +79,9 @@
 	suspects *quarantine.List
 	limits   LimitSharer
 
+	// announcedSince is the start of the time in which no renewal failed.
+	announcedSince time.Time
+
 	mu sync.Mutex
 	// firstRowsAt is when the first update arrived.
 	firstRowsAt time.Time
@@ -100,6 +95,8 @@
 	cores   float64
 	// started is the start time of the instance's process in Unix milliseconds.
 	started int64
+	// version is that of the row, seenAt when it was first read.
+	version int64
 	seenAt  time.Time
 }
 
@@ -124,10 +121,21 @@
 	if m.firstRowsAt.IsZero() {
 		m.firstRowsAt = m.clock.Now()
 	}
+	if update.Complete {
+		m.retain(update.Rows)
+	}
 	for _, row := range update.Rows {
 		name := row.Name()
+		if known, found := m.members[name]; found && known.version == row.Version && row.Version != 0 {
+			continue // read again, not renewed
+		}
 		var decoded memberRow
-		if row.Deleted || json.Unmarshal(row.Value, &decoded) != nil {
+		if row.Deleted {
+			delete(m.members, name)
+			continue
+		}
+		if err := json.Unmarshal(row.Value, &decoded); err != nil {
+			m.log.Info("row of an instance is malformed", "row", row.Key, "version", row.Version, "cause", err.Error())
 			delete(m.members, name)
 			continue
 		}
@@ -135,26 +143,49 @@
 			m.suspects.SetReports(fmt.Sprint(name, "@", decoded.Started), decoded.Crashes)
 			m.limits.Receive(decoded.Limits)
 		}
-		m.members[name] = memberState{address: decoded.Address, centre: decoded.Centre, cores: decoded.Cores, started: decoded.Started, seenAt: m.clock.Now()}
+		m.members[name] = memberState{address: decoded.Address, centre: decoded.Centre, cores: decoded.Cores, started: decoded.Started, seenAt: m.clock.Now(), version: row.Version}
+	}
+}
+
+// retain forgets the instances without a row among rows, which are all that there
+// are. The caller must hold m.mu.
+func (m *Members) retain(rows []sesamepitch.Row) {
+	present := map[string]bool{}
+	for _, row := range rows {
+		present[row.Name()] = true
+	}
+	for name := range m.members {
+		if !present[name] {
+			delete(m.members, name)
+		}
 	}
 }
 
-// Peers returns the addresses of the other live instances, followed by the
-// seeds.
+// Peers returns the addresses of the other live instances, followed by the seeds.
+// If no row was renewed lately, as after a long outage of the store, it returns the
+// addresses of all known instances.
 func (m *Members) Peers() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var peers []string
+	var live, known []string
 	listed := map[string]bool{m.address: true}
 	now := m.clock.Now()
 	for _, other := range m.members {
-		if !listed[other.address] && now.Sub(other.seenAt) < memberTTL {
-			listed[other.address] = true
-			peers = append(peers, other.address)
+		if listed[other.address] {
+			continue
 		}
+		listed[other.address] = true
+		known = append(known, other.address)
+		if now.Sub(other.seenAt) < memberTTL {
+			live = append(live, other.address)
+		}
+	}
+	peers := live
+	if len(live) == 0 {
+		peers = known
 	}
 	for _, seed := range m.seeds {
-		if !listed[seed] {
+		if seed != m.address && !slices.Contains(peers, seed) {
 			peers = append(peers, seed)
 		}
 	}
@@ -251,67 +282,16 @@
 	return false
 }
 
-// RemotePeers returns the addresses of the instances in other data centres,
-// including those whose rows are out of date.
-func (m *Members) RemotePeers() []string {
+// RemotePeers returns the addresses of the instances in other data centres that
+// were live at a moment.
+func (m *Members) RemotePeers(at time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var addresses []string
 	for _, other := range m.members {
-		if other.centre != m.centre {
+		if other.centre != m.centre && at.Sub(other.seenAt) < memberTTL {
 			addresses = append(addresses, other.address)
 		}
 	}
 	return addresses
 }
-
-// Run renews this instance's row until ctx ends, and early when a crash is
-// reported.
-func (m *Members) Run(ctx context.Context) error {
-	for {
-		wait := announceInterval
-		if err := m.announce(ctx); err != nil {
-			m.log.Info("renewal of this instance's row failed", "cause", err.Error())
-			wait = announceRetryDelay
-		}
-		if !m.sleep(ctx, minAnnounceInterval) {
-			return ctx.Err()
-		}
-		select {
-		case <-m.clock.After(wait - minAnnounceInterval):
-		case <-m.suspects.Changed():
-		case <-m.limits.Changed():
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// sleep waits for d and reports whether ctx is still active.
-func (m *Members) sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-m.clock.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (m *Members) announce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	m.renewal++
-	row := memberRow{Address: m.address, Centre: m.centre, Cores: m.cores, Started: m.started, Renewal: m.renewal, Crashes: m.suspects.Reports(), Limits: m.limits.Share()}
-	_, err := m.table.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: memberKey(m.name), Value: rowstore.Encode(row)}}})
-	return err
-}
-
-// Leave removes this instance's row.
-func (m *Members) Leave(ctx context.Context) {
-	_, err := m.table.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: memberKey(m.name), Delete: true}}})
-	if err != nil {
-		m.log.Info("removal of this instance's row failed", "cause", err.Error())
-	}
-}
-
-func memberKey(name string) string { return MemberTable + "//" + name }
--- a/src/registry/members_test.go
+++ b/src/registry/members_test.go
@@ -39,6 +39,46 @@
 	}
 }
 
+// TestRowReadAgainIsNoRenewal guards against a dead instance that counts as live, and
+// takes its share, because its row was read once more with the whole table.
+func TestRowReadAgainIsNoRenewal(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	m := registry.NewMembers(clock, logr.Discard(), standin.NewMemory(), "a", "dc-1", "10.0.0.1:1", 1, nil, quarantine.New(clock))
+	dead := sesamepitch.Row{Key: "member//b", Version: 3, Value: []byte(`{"address":"10.0.0.2:1","centre":"dc-2","cores":4}`)}
+	m.Apply(registry.Update{Rows: []sesamepitch.Row{dead}, Complete: true})
+	assert.Equal(t, len(m.Stronger()), 1)
+	clock.Advance(time.Minute)
+	m.Apply(registry.Update{Rows: []sesamepitch.Row{dead}, Complete: true})
+	assert.Equal(t, len(m.Stronger()), 0)
+	m.Apply(registry.Update{Complete: true})
+	assert.Equal(t, m.Count(), 1, "the row is gone")
+}
+
+// TestDeadInstanceTakesNoShare guards against rows of instances that ended without a
+// word and take their share of endpoints' rates for ever.
+func TestDeadInstanceTakesNoShare(t *testing.T) {
+	clock, store := clockwork.NewFakeClock(), standin.NewMemory()
+	row := []byte(`{"address":"10.0.0.2:1","centre":"dc-2","cores":1}`)
+	_, err := store.Commit(context.Background(), sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: "member//b", Value: row}}})
+	assert.NilError(t, err)
+	m := registry.NewMembers(clock, logr.Discard(), store, "a", "dc-1", "10.0.0.1:1", 1, nil, quarantine.New(clock))
+	snapshot, err := store.Snapshot(context.Background(), registry.MemberTable)
+	assert.NilError(t, err)
+	m.Apply(registry.Update{Rows: snapshot.Rows, Complete: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- m.Run(ctx) }()
+	for range 80 { // steps of 5 s, as far as two times deadAfter and more
+		assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+		clock.Advance(5 * time.Second)
+	}
+	left, err := store.Get(context.Background(), "member//b")
+	assert.NilError(t, err)
+	assert.Equal(t, left.Version, int64(0), "the row is still there")
+	cancel()
+	<-ended
+}
+
 // sharedLimits publishes and receives statements.
 type sharedLimits struct {
 	mine     []ratelimit.Statement
--- a/src/registry/registry_test.go
+++ b/src/registry/registry_test.go
@@ -203,11 +203,16 @@
 	assert.Assert(t, strong.IsSettled() && weak.IsSettled())
 	assert.Equal(t, len(strong.Stronger()), 0)
 	assert.DeepEqual(t, weak.Stronger(), []registry.Member{{Name: "strong", Address: "10.0.0.2:1", Cores: 0.8}})
-	assert.DeepEqual(t, weak.RemotePeers(), []string{"10.0.0.2:1"})
+	assert.DeepEqual(t, weak.RemotePeers(clock.Now()), []string{"10.0.0.2:1"})
 	assert.DeepEqual(t, weak.Peers(), []string{"10.0.0.2:1", "10.0.0.9:1"})
 	clock.Advance(20 * time.Second)
 	assert.Assert(t, weak.IsSettled() && len(weak.Stronger()) == 0, "the row of the instance with more cores has expired")
-	assert.DeepEqual(t, weak.Peers(), []string{"10.0.0.9:1"})
+	assert.Equal(t, len(weak.RemotePeers(clock.Now())), 0)
+	assert.Equal(t, len(weak.RemotePeers(clock.Now().Add(-10*time.Second))), 1)
+	assert.DeepEqual(t, weak.Peers(), []string{"10.0.0.2:1", "10.0.0.9:1"}) // no row was renewed lately: all are tried
+	renewed := []sesamepitch.Row{{Key: "member//third", Version: 9, Value: []byte(`{"address":"10.0.0.3:1","centre":"dc-2","cores":0.2}`)}}
+	weak.Apply(registry.Update{Rows: renewed})
+	assert.DeepEqual(t, weak.Peers(), []string{"10.0.0.3:1", "10.0.0.9:1"})
 }
 
 // TestIsAged compares the start times of instances. Only a live instance that
