A model without an engine gets one for a single waiting item

Cause: assignModels gives each engine one model, so with fewer engines than models some model has none; loads for it then wait for 6 waiting items (saturationThreshold), for ever if the step has fewer. The same happens with enough engines if the model's own engine is suspected again and again or never answers the order.

Ruled out: that the engine can't hold both (versions are per model, an order leaves other models alone), and the limit of concurrent loads.

One item that has waited for 1 s while no engine serves its model, or will soon, is enough for a load, also beyond the limit of concurrent loads, since those may hang. Loads of equal rank go to the model whose items have waited longest, so models take turns; each engine still loads each version once. Assignments are kept by service: with two services of models each tick used to discard those of the other one.

--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -288,7 +288,7 @@
 		clock: d.clock, log: d.log, ledger: d.ledger, registry: d.registry, engines: d.engines, rewards: d.rewards, limits: d.limits, observeReward: d.observeReward,
 		loader: newLoader(d.clock, d.log, d.control, d.limits, d.lease.ForFencedCalls(), d.instance, epoch, d.checks),
 		checks: d.checks, holder: d.instance, epoch: epoch, wake: make(chan struct{}, 1),
-		jobs: map[string]*job{}, engineStates: map[string]*engine{}, assigned: map[string]string{}, lags: map[string]lag{}, lengths: map[string]*lengthModel{},
+		jobs: map[string]*job{}, engineStates: map[string]*engine{}, assigned: map[string]map[string]string{}, lags: map[string]lag{}, lengths: map[string]*lengthModel{},
 		shortOfRate: map[string]time.Time{}, cache: newOutputCache(), takenOver: map[string]bool{}, ended: map[string]bool{}, headers: map[string]batch.Header{}, retention: d.retention,
 	}
 	follower := registry.NewFollower(d.clock, d.log, d.store, batch.OpenTable, func(update registry.Update) { s.apply(ctx, update) })
--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -58,6 +58,8 @@
 	// and loadingVersion their version.
 	loadingModel   string
 	loadingVersion int64
+	// loadingSince is when that load was ordered.
+	loadingSince time.Time
 	// readyAt is when the weights are expected to be loaded; zero until the
 	// engine accepts the order. From then on one item at a time probes the
 	// engine.
@@ -227,6 +229,11 @@
 	return e.loadingModel != "" && (e.readyAt.IsZero() || now.Before(e.readyAt))
 }
 
+// isLate reports whether the engine has been loading for lateLoadTime.
+func (e *engine) isLate(now time.Time) bool {
+	return e.loadingModel != "" && !e.loadingSince.IsZero() && now.Sub(e.loadingSince) >= lateLoadTime
+}
+
 // beginLoad records an order for weights.
 func (e *engine) beginLoad(model string, version int64) {
 	e.loadingModel, e.loadingVersion, e.readyAt, e.probing = model, version, time.Time{}, false
--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -112,6 +112,7 @@
 		return
 	}
 	e.beginLoad(order.model, order.version)
+	e.loadingSince = l.clock.Now()
 	l.mu.Lock()
 	l.ordered[loadOrder{model: order.model, version: order.version}]++
 	l.mu.Unlock()
--- a/src/driver/loads.go
+++ b/src/driver/loads.go
@@ -18,12 +18,13 @@
 			continue
 		}
 		engines := s.enginesOf(name)
-		s.assigned = assignModels(s.assigned, engines, models)
+		s.assigned[name] = assignModels(s.assigned[name], engines, models)
+		waiting, oldest := s.waitingByModel()
 		in := planInput{
 			now: now, engines: engines, models: models, newest: newest, needed: s.neededBy(models, newest),
-			waiting: s.waitingByModel(), loads: s.loader.orderCounts(newest),
+			waiting: waiting, oldest: oldest, loads: s.loader.orderCounts(newest),
 		}
-		for _, l := range planLoads(in, s.assigned) {
+		for _, l := range planLoads(in, s.assigned[name]) {
 			s.loader.begin(ctx, s, s.engineStates[l.engine], l)
 		}
 	}
@@ -86,14 +87,20 @@
 	return needed
 }
 
-func (s *session) waitingByModel() map[string]int {
-	waiting := map[string]int{}
+// waitingByModel counts the items that wait for an engine, and returns since when
+// the one that has waited longest waits, by model.
+func (s *session) waitingByModel() (count map[string]int, oldest map[string]time.Time) {
+	count, oldest = map[string]int{}, map[string]time.Time{}
 	for _, j := range s.jobs {
 		for _, t := range j.open {
-			if t.needsRun() {
-				waiting[j.Model]++
+			if !t.needsRun() {
+				continue
+			}
+			count[j.Model]++
+			if since, found := oldest[j.Model]; !found || t.waitingSince.Before(since) {
+				oldest[j.Model] = t.waitingSince
 			}
 		}
 	}
-	return waiting
+	return count, oldest
 }
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -60,7 +60,8 @@
 	tickedAt     time.Time
 	jobs         map[string]*job
 	engineStates map[string]*engine
-	assigned     map[string]string
+	// assigned are the models that engines are assigned to, by service and engine.
+	assigned map[string]map[string]string
 	// lags are how far behind the newest version jobs allow weights to be, by
 	// model.
 	lags  map[string]lag
--- a/src/driver/weights.go
+++ b/src/driver/weights.go
@@ -16,8 +16,13 @@
 	// the next step, until a job has shown another lag.
 	defaultLag = 1
 	// saturationThreshold is how many items of a model must wait before another
-	// model's engine is loaded for it.
+	// model's engine is loaded for it, if some engine serves the model.
 	saturationThreshold = 6
+	// unservedAfter is how long one item may wait while no engine serves its model.
+	unservedAfter = time.Second
+	// lateLoadTime is the time after which an engine that still loads is no longer
+	// expected to serve the model soon.
+	lateLoadTime = 3 * time.Second
 	// nextStepRank ranks a model without an engine for its next step like one
 	// that has one engine and waiting items.
 	nextStepRank = 1
@@ -43,99 +48,38 @@
 	needed map[string]int64
 	// waiting counts the items that wait for an engine, by model.
 	waiting map[string]int
+	// oldest is since when the item that has waited longest waits, by model.
+	oldest map[string]time.Time
 	// loads counts the ordered loads of the newest version, by model.
 	loads map[string]int
 }
 
-// assignModels assigns a model to each usable engine. An engine keeps its
-// model, a new one gets the model with the fewest engines, and while the
-// largest share exceeds the smallest by two or more, one of its engines moves
-// to the smallest.
-func assignModels(previous map[string]string, engines map[string]*engine, models []string) map[string]string {
-	next := map[string]string{}
-	if len(models) == 0 {
-		return next
-	}
-	counts := map[string]int{}
-	var unassigned []string
-	for _, id := range usableEngines(engines) {
-		model, found := previous[id]
-		if found && slices.Contains(models, model) {
-			next[id] = model
-			counts[model]++
-			continue
-		}
-		unassigned = append(unassigned, id)
-	}
-	for _, id := range unassigned {
-		model := leastAssigned(models, counts)
-		next[id] = model
-		counts[model]++
-	}
-	for {
-		small, large := leastAssigned(models, counts), mostAssigned(models, counts)
-		if counts[large]-counts[small] < 2 {
-			return next
-		}
-		id := lastAssigned(next, engines, large)
-		next[id] = small
-		counts[large]--
-		counts[small]++
-	}
-}
-
-// usableEngines returns the engines that are listed and not draining, sorted by
-// data centre, so that a model's engines are spread over data centres.
-func usableEngines(engines map[string]*engine) []string {
-	var ids []string
-	for id, e := range engines {
-		if e.listed && !e.entry.Draining {
-			ids = append(ids, id)
-		}
-	}
-	slices.SortFunc(ids, func(a, b string) int {
-		byCentre := cmp.Compare(engines[a].entry.Centre, engines[b].entry.Centre)
-		return cmp.Or(byCentre, cmp.Compare(a, b))
-	})
-	return ids
-}
-
-func leastAssigned(models []string, counts map[string]int) string {
-	return slices.MinFunc(models, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
-}
-
-func mostAssigned(models []string, counts map[string]int) string {
-	return slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
-}
-
-func lastAssigned(assigned map[string]string, engines map[string]*engine, model string) string {
-	ids := usableEngines(engines)
-	for i := len(ids) - 1; i >= 0; i-- {
-		if assigned[ids[i]] == model {
-			return ids[i]
-		}
-	}
-	return ""
-}
-
 // planLoads returns the loads to order now, the most urgent first: those of
 // engines whose version is older than needed, and one for each model without an
 // engine for its next step; then those for models with many waiting items. Only
 // if there are none of these, it returns loads of engines that are behind but
-// still allowed, while free loads remain.
+// still allowed, while free loads remain. A model that no engine serves gets its
+// load also beyond the limit: the engines that load may not answer.
 func planLoads(in planInput, assigned map[string]string) []loadOrder {
+	all := in.assignments(assigned)
 	room := maxLoads(len(in.engines)) - countLoading(in.engines, in.now)
+	unserved := unservedLoads(in)
 	if room <= 0 {
-		return nil
+		return firstPerEngine(unserved, 1)
 	}
-	wanted := sortByRank(append(staleLoads(in, assigned), nextStepLoads(in, assigned)...))
+	wanted := in.sortByRank(append(staleLoads(in, all), nextStepLoads(in, all)...))
 	wanted = append(wanted, saturatedLoads(in, assigned)...)
+	wanted = append(wanted, slices.DeleteFunc(unserved, func(l loadOrder) bool { return loadsModel(wanted, l.model) })...)
 	if len(wanted) == 0 {
-		wanted = refreshLoads(in, assigned)
+		wanted = refreshLoads(in, all, len(assigned))
 	}
 	return firstPerEngine(wanted, room)
 }
 
+func loadsModel(loads []loadOrder, model string) bool {
+	return slices.ContainsFunc(loads, func(l loadOrder) bool { return l.model == model })
+}
+
 func maxLoads(engines int) int { return max(minLoads, engines/enginesPerLoad) }
 
 func countLoading(engines map[string]*engine, now time.Time) int {
@@ -156,11 +100,11 @@
 // nextStepLoads returns a load for each model whose newest version no assigned
 // engine has or loads: the next step may allow nothing older. The engine that
 // serves the model least is chosen; its runs continue meanwhile.
-func nextStepLoads(in planInput, assigned map[string]string) []ranked {
+func nextStepLoads(in planInput, all []assignment) []ranked {
 	best := map[string]*engine{}
 	fresh := map[string]bool{}
-	for _, id := range slices.Sorted(maps.Keys(assigned)) {
-		model, e := assigned[id], in.engines[id]
+	for _, a := range all {
+		model, e := a.model, in.engines[a.engine]
 		if e.upcomingVersion(model) >= in.newest[model] {
 			fresh[model] = true
 		}
@@ -189,17 +133,17 @@
 
 // staleLoads returns loads for engines whose version of their assigned model is
 // older than needed, the models with the fewest fresh engines first.
-func staleLoads(in planInput, assigned map[string]string) []ranked {
+func staleLoads(in planInput, all []assignment) []ranked {
 	fresh := map[string]int{}
 	var wanted []loadOrder
-	for _, id := range slices.Sorted(maps.Keys(assigned)) {
-		model, e := assigned[id], in.engines[id]
+	for _, a := range all {
+		model, e := a.model, in.engines[a.engine]
 		if e.versions[model] >= in.needed[model] {
 			fresh[model]++
 			continue
 		}
 		if in.mayLoad(e) {
-			wanted = append(wanted, loadOrder{id, model, in.newest[model]})
+			wanted = append(wanted, loadOrder{a.engine, model, in.newest[model]})
 		}
 	}
 	return rankByModel(wanted, func(model string) int {
@@ -230,9 +174,13 @@
 	return order
 }
 
-// sortByRank returns the loads, the most urgent first.
-func sortByRank(order []ranked) []loadOrder {
-	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+// sortByRank returns the loads, the most urgent first. Of models with the same rank
+// comes first the one whose items have waited longest, so that models that share an
+// engine take turns.
+func (in planInput) sortByRank(order []ranked) []loadOrder {
+	slices.SortStableFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), in.compareWait(a.load.model, b.load.model))
+	})
 	var loads []loadOrder
 	for _, each := range order {
 		loads = append(loads, each.load)
@@ -240,6 +188,72 @@
 	return loads
 }
 
+// compareWait is negative if an item of model a has waited longer than any of b.
+func (in planInput) compareWait(a, b string) int {
+	sinceA, waitsA := in.oldest[a]
+	sinceB, waitsB := in.oldest[b]
+	switch {
+	case waitsA && waitsB:
+		return sinceA.Compare(sinceB)
+	case waitsA:
+		return -1
+	case waitsB:
+		return 1
+	}
+	return 0
+}
+
+// unservedLoads returns a load for each model with an item that has waited for
+// unservedAfter while no engine served it: on the engine with the fewest items.
+func unservedLoads(in planInput) []loadOrder {
+	var order []ranked
+	for _, model := range in.models {
+		if !in.isUnserved(model) {
+			continue
+		}
+		var best *engine
+		for id, e := range in.engines {
+			if !in.mayLoad(e) {
+				continue
+			}
+			if best == nil || e.running < best.running || e.running == best.running && id < best.entry.ID {
+				best = e
+			}
+		}
+		if best != nil {
+			order = append(order, ranked{load: loadOrder{best.entry.ID, model, in.newest[model]}})
+		}
+	}
+	return in.sortByRank(order)
+}
+
+// isUnserved reports whether an item of a model has waited for unservedAfter and no
+// engine has, or will soon have, weights for it.
+func (in planInput) isUnserved(model string) bool {
+	since, waits := in.oldest[model]
+	if !waits || in.now.Sub(since) < unservedAfter {
+		return false
+	}
+	for _, e := range in.engines {
+		if in.serves(e, model) {
+			return false
+		}
+	}
+	return true
+}
+
+// serves reports whether an engine takes items of a model now or soon.
+func (in planInput) serves(e *engine, model string) bool {
+	if !e.listed || e.entry.Draining || !e.entry.LeavesAt.IsZero() || in.now.Before(e.suspectedUntil) {
+		return false
+	}
+	version := e.versions[model]
+	if !e.isLate(in.now) {
+		version = e.upcomingVersion(model)
+	}
+	return version >= in.needed[model]
+}
+
 // saturatedLoads returns loads of idle engines of other models for models with
 // many waiting items.
 func saturatedLoads(in planInput, assigned map[string]string) []loadOrder {
@@ -265,18 +279,18 @@
 	return wanted
 }
 
-// refreshLoads returns loads for engines whose version of their assigned model
+// refreshLoads returns loads for some of a number of engines whose version of their assigned model
 // is behind but still allowed, while free loads of the newest version remain:
 // as many as the model's share of the engines.
-func refreshLoads(in planInput, assigned map[string]string) []loadOrder {
+func refreshLoads(in planInput, all []assignment, engines int) []loadOrder {
 	free := map[string]int{}
 	for _, model := range in.models {
-		free[model] = len(assigned)/max(len(in.models), 1) - in.loads[model]
+		free[model] = engines/max(len(in.models), 1) - in.loads[model]
 	}
 	current := map[string]int{}
 	var wanted []loadOrder
-	for _, id := range slices.Sorted(maps.Keys(assigned)) {
-		model, e := assigned[id], in.engines[id]
+	for _, a := range all {
+		model, e := a.model, in.engines[a.engine]
 		if e.versions[model] >= in.newest[model] {
 			current[model]++
 			continue
@@ -285,9 +299,9 @@
 			continue
 		}
 		free[model]--
-		wanted = append(wanted, loadOrder{id, model, in.newest[model]})
+		wanted = append(wanted, loadOrder{a.engine, model, in.newest[model]})
 	}
-	return sortByRank(rankByModel(wanted, func(model string) int { return current[model] }))
+	return in.sortByRank(rankByModel(wanted, func(model string) int { return current[model] }))
 }
 
 // firstPerEngine returns the first load of each engine, at most room of them.
