--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// TestOutputOfLostVersion guards against an item that waits for ever for an engine
+// with the version that its output began with, after all engines have newer weights.
+func TestOutputOfLostVersion(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 1)
+	f.engines.scripts["x"] = []script{{last: 4, err: failure{sesamepitch.KindCrashed, nil}, eventTime: 400 * time.Millisecond}, complete}
+	f.startDriver("a")
+	f.submitTo("single", singleVersionHost, "j", 1, "x")
+	eventually(t, func() bool { return len(f.engines.runsOf("x")) > 0 })
+	f.registry.ApplyOperators([]sesamepitch.Row{{Key: "op//version", Version: 2}}, false)
+	result := f.results("j", 1, 8*time.Second)["x"]
+	assert.Equal(t, result.Output, outputOf("x"))
+	assert.DeepEqual(t, result.Versions, []int64{2})
+}
+
 // eventually fails unless a condition holds within five seconds.
 func eventually(t *testing.T, holds func() bool) {
 	t.Helper()
--- a/src/driver/engine.go
+++ b/src/driver/engine.go
@@ -229,6 +229,11 @@
 	return e.loadingModel != "" && (e.readyAt.IsZero() || now.Before(e.readyAt))
 }
 
+// isUsable reports whether the engine is neither leaving nor suspected.
+func (e *engine) isUsable(now time.Time) bool {
+	return e.listed && !e.entry.Draining && e.entry.LeavesAt.IsZero() && !now.Before(e.suspectedUntil)
+}
+
 // isLate reports whether the engine has been loading for lateLoadTime.
 func (e *engine) isLate(now time.Time) bool {
 	return e.loadingModel != "" && !e.loadingSince.IsZero() && now.Sub(e.loadingSince) >= lateLoadTime
--- a/src/driver/fakes_test.go
+++ b/src/driver/fakes_test.go
@@ -12,16 +12,23 @@
 	"sesamepitch/src/registry"
 )
 
-// decoder has one route and one service with engines that hold one model.
+// singleVersionHost is the host whose outputs must have one weight version.
+const singleVersionHost = "single.example"
+
+func testRoute(name, host string, singleVersion bool) registry.Route {
+	return registry.Route{
+		Name: name, Host: host, Prefix: "/p/", Kind: registry.Rollout, MaxAttempts: 2, SingleVersion: singleVersion,
+		Split: []registry.Share{{Service: "lm", Weight: 1}}, QueueTTL: 20 * time.Second, ResultDeadline: 5 * time.Second,
+	}
+}
+
+// decoder has two routes and one service with engines that hold one model.
 type decoder struct{}
 
 func (decoder) Config(sesamepitch.Row) (*registry.Config, error) {
 	return registry.NewConfig(registry.Config{
-		Version: 1,
-		Routes: []registry.Route{{
-			Name: "train", Host: "h", Prefix: "/p/", Kind: registry.Rollout, MaxAttempts: 2,
-			Split: []registry.Share{{Service: "lm", Weight: 1}}, QueueTTL: 20 * time.Second, ResultDeadline: 5 * time.Second,
-		}},
+		Version:  1,
+		Routes:   []registry.Route{testRoute("train", "h", false), testRoute("single", singleVersionHost, true)},
 		Services: map[string]registry.Service{"lm": {Name: "lm", Models: []string{"coach"}}},
 	}), nil
 }
--- a/src/driver/fixture_test.go
+++ b/src/driver/fixture_test.go
@@ -103,7 +103,13 @@
 
 func (f *fixture) submit(id string, minVersion int64, items ...string) {
 	f.t.Helper()
-	job := batch.Job{Header: batch.Header{ID: id, Workspace: "w", Route: "train", Host: "h", Model: "coach", MinVersion: minVersion, Submitted: time.Now()}}
+	f.submitTo("train", "h", id, minVersion, items...)
+}
+
+// submitTo is submit for a route and its host.
+func (f *fixture) submitTo(route, host, id string, minVersion int64, items ...string) {
+	f.t.Helper()
+	job := batch.Job{Header: batch.Header{ID: id, Workspace: "w", Route: route, Host: host, Model: "coach", MinVersion: minVersion, Submitted: time.Now()}}
 	for _, item := range items {
 		job.Items = append(job.Items, batch.Item{ID: item, Path: "/p/1", Group: "g"})
 	}
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -237,6 +237,7 @@
 	}
 	byUrgency(waiting, now, medianEventTime(s.engineStates))
 	for _, t := range waiting {
+		s.restartUnservable(t, now)
 		req := s.requirementOf(t)
 		reserved := t.release()
 		if req.service == "" {
@@ -252,6 +253,22 @@
 	}
 }
 
+// restartUnservable discards an output that must continue under a weight version
+// which no usable engine has any more: otherwise the item would wait for ever.
+func (s *session) restartUnservable(t *task, now time.Time) {
+	req := s.requirementOf(t)
+	if req.exact == 0 || now.Sub(t.waitingSince) < unservedAfter {
+		return
+	}
+	for _, e := range s.engineStates {
+		if e.entry.Service == req.service && e.isUsable(now) && e.upcomingVersion(req.model) == req.exact {
+			return
+		}
+	}
+	s.log.Info("output discarded, no engine has its version", "job", t.job.ID, "item", t.item.ID, "version", req.exact, "events", len(t.output.events))
+	t.restart()
+}
+
 // placeTask starts a run of a task at the cheapest engine whose rate allows it, and
 // reports whether there is one.
 func (s *session) placeTask(ctx context.Context, t *task, req requirement, now time.Time) bool {
--- a/src/driver/weights.go
+++ b/src/driver/weights.go
@@ -94,7 +94,7 @@
 
 // mayLoad reports whether an engine can take an order now.
 func (in planInput) mayLoad(e *engine) bool {
-	return e.listed && !e.entry.Draining && e.loadingModel == "" && e.entry.LeavesAt.IsZero() && !in.now.Before(e.suspectedUntil)
+	return e.isUsable(in.now) && e.loadingModel == ""
 }
 
 // nextStepLoads returns a load for each model whose newest version no assigned
@@ -244,7 +244,7 @@
 
 // serves reports whether an engine takes items of a model now or soon.
 func (in planInput) serves(e *engine, model string) bool {
-	if !e.listed || e.entry.Draining || !e.entry.LeavesAt.IsZero() || in.now.Before(e.suspectedUntil) {
+	if !e.isUsable(in.now) {
 		return false
 	}
 	version := e.versions[model]
