A planned stop lets open requests go on into the last sixth of the grace

Cause: exitMargin, a fixed 1.5 s, against a grace period from the settings: a sixth of 8 s is 1.333 s. With a grace of 2 s the times did not even end before SIGKILL (3.6 s), with 16 s they fitted by chance.

Ruled out: the endpoint's own end and the route's timeout (10 s), http shutdown polling (the abort came from its context at 6.5 s).

Change: planStop divides the grace period: open requests go on for 11/12 of it, the last writes get 1/16, what is left is for the exit; new requests are accepted for the balancer's 2.6 s or half of the serving time, and the driver hands over no later than at 4/5 of it. The usage flush and the removal of the instance's row run side by side.

--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -41,14 +41,6 @@
 	// maxHeaderBytes is larger than any limit that operators may configure. The
 	// handler enforces the configured limit.
 	maxHeaderBytes = 1 << 20
-	// deregistrationTime is how long after SIGTERM the load balancer may still
-	// send new requests.
-	deregistrationTime = 2600 * time.Millisecond
-	// exitMargin is the time between the exit of the process and the end of the
-	// shutdown grace period.
-	exitMargin = 1500 * time.Millisecond
-	// finalWriteTimeout bounds the writes to the store at the end of a shutdown.
-	finalWriteTimeout = time.Second
 	// heapShare is the share of the memory limit that is the garbage collector's
 	// soft limit, bodyShare the share for the bodies of callers' requests.
 	heapShare = 0.7
@@ -357,29 +349,3 @@
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
-
-// drain fails the readiness check so that the load balancer sends callers
-// elsewhere, hands over the driver lease, finishes open requests, writes the
-// remaining usage counts and removes the instance's row.
-func (i *Instance) drain(server *http.Server) {
-	i.log.Info("instance draining")
-	i.draining.Store(true)
-	shutdownTime := max(i.settings.Bounds.Grace-exitMargin, deregistrationTime+finalWriteTimeout)
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTime)
-	defer cancel()
-	driverLeft := i.driver.Leave(shutdownTime - finalWriteTimeout)
-	<-i.clock.After(deregistrationTime)
-	if err := server.Shutdown(shutdownCtx); err != nil {
-		i.log.Info("open requests aborted at the end of the shutdown", "cause", err.Error())
-		_ = server.Close()
-	}
-	select {
-	case <-driverLeft:
-	case <-shutdownCtx.Done():
-		i.log.Info("driver lease not released in time")
-	}
-	writeCtx, done := context.WithTimeout(context.Background(), finalWriteTimeout)
-	defer done()
-	i.meter.Flush(writeCtx)
-	i.members.Leave(writeCtx)
-}
--- /dev/null
+++ b/src/instance/stop.go
@@ -0,0 +1,78 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+const (
+	// deregistrationTime is how long after SIGTERM the load balancer may still send
+	// new requests.
+	deregistrationTime = 2600 * time.Millisecond
+	// serveShare is the share of the grace period in which open requests may go on,
+	// writeShare the share after it for the last writes to the store.
+	serveShare = 11.0 / 12
+	writeShare = 1.0 / 16
+	// maxAcceptShare is the share of the serving time in which new requests are
+	// accepted if the grace period is short.
+	maxAcceptShare = 0.5
+	// maxHandOverShare is the share of the serving time that the handover to the
+	// next driver may take.
+	maxHandOverShare = 0.2
+)
+
+// stopPlan divides the grace period of a stop. All times are counted from its start.
+type stopPlan struct {
+	// accept is how long new requests are accepted, serve how long open ones may go
+	// on.
+	accept, serve time.Duration
+	// handOver is how long the driver waits for the store, or for another instance,
+	// before it hands its jobs over.
+	handOver time.Duration
+	// write is the time for the last writes, after serve.
+	write time.Duration
+}
+
+func planStop(grace time.Duration) stopPlan {
+	share := func(of time.Duration, fraction float64) time.Duration { return time.Duration(fraction * float64(of)) }
+	serve := share(grace, serveShare)
+	return stopPlan{
+		accept:   min(deregistrationTime, share(serve, maxAcceptShare)),
+		serve:    serve,
+		handOver: serve - share(serve, maxHandOverShare),
+		write:    share(grace, writeShare),
+	}
+}
+
+// drain fails the readiness check so that the load balancer sends callers
+// elsewhere, hands over the driver lease, finishes open requests, writes the
+// remaining usage counts and removes the instance's row. Requests that are still
+// open near the end of the grace period are aborted.
+func (i *Instance) drain(server *http.Server) {
+	plan := planStop(i.settings.Bounds.Grace)
+	i.log.Info("instance draining", "accept_ms", plan.accept.Milliseconds(), "serve_ms", plan.serve.Milliseconds(), "write_ms", plan.write.Milliseconds())
+	i.draining.Store(true)
+	serveCtx, cancel := context.WithTimeout(context.Background(), plan.serve)
+	defer cancel()
+	driverLeft := i.driver.Leave(plan.handOver)
+	<-i.clock.After(plan.accept)
+	if err := server.Shutdown(serveCtx); err != nil {
+		i.log.Info("open requests aborted at the end of the grace period", "cause", err.Error())
+		_ = server.Close()
+	}
+	select {
+	case <-driverLeft:
+	case <-serveCtx.Done():
+		i.log.Info("driver lease not released in time")
+	}
+	writeCtx, done := context.WithTimeout(context.Background(), plan.write)
+	defer done()
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		i.members.Leave(writeCtx)
+	}()
+	i.meter.Flush(writeCtx)
+	<-left
+}
