Times that act against the lease follow its length

A lease of lease_ms 1200 is held for 480 ms at a time, so none was ever sent; the same with any lease_ms up to 1500. The holder renewed each 350 ms and let a step take 600 ms, whatever the term.

Change: LeaseHolder.MayCall answers once for all three, half of the time for which a renewal holds the lease; the renewal interval and the timeout of a step are shares of it, at most what they were. At lease_ms 3000 the figures stay (600 ms; 350 ms; 600 ms).

Evidence: TestShortLease, "0 of 1 results after 8s" before.

Read and left, as they act against no setting: the load balancer's times (deregistrationTime, rerouteTime), the time for entries to come back (reregisterGrace, given on the users' page), the life of a member's row.

--- a/src/billing/billing_test.go
+++ b/src/billing/billing_test.go
@@ -49,6 +49,8 @@
 	return int64(l), time.Now().Add(time.Hour), l > 0
 }
 
+func (l heldLease) MayCall() (int64, bool) { return int64(l), l > 0 }
+
 const window = 500 * time.Millisecond
 
 // TestReports counts at two instances and runs two reporters at the same time,
--- a/src/billing/reporter.go
+++ b/src/billing/reporter.go
@@ -22,9 +22,6 @@
 	// staleWindows is how many windows before pastWindows a new reporter clears of
 	// rows that its predecessor did not remove.
 	staleWindows = 20
-	// minLeaseLeft is the time that the lease must still last when a report is
-	// sent.
-	minLeaseLeft = 700 * time.Millisecond
 )
 
 // Reporter reports the counts of each window. It writes the final counts to the
@@ -108,7 +105,7 @@
 // removeOld removes the rows of the oldest window not yet cleared, if more than
 // pastWindows windows lie between it and the oldest one that is not overdue.
 func (r *Reporter) removeOld(ctx context.Context, oldest int64) {
-	if _, held := r.heldEpoch(); !held || r.removedBefore >= oldest-pastWindows {
+	if _, held := r.lease.MayCall(); !held || r.removedBefore >= oldest-pastWindows {
 		return
 	}
 	if r.removedBefore == 0 {
@@ -128,7 +125,7 @@
 }
 
 func (r *Reporter) report(ctx context.Context, window int64) error {
-	if _, held := r.heldEpoch(); !held {
+	if _, held := r.lease.MayCall(); !held {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -137,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	epoch, held := r.heldEpoch()
+	epoch, held := r.lease.MayCall()
 	if !held {
 		return nil
 	}
@@ -153,13 +150,6 @@
 	return nil
 }
 
-// heldEpoch returns the epoch of the lease and reports whether it is held for
-// longer than minLeaseLeft.
-func (r *Reporter) heldEpoch() (int64, bool) {
-	epoch, until, held := r.lease.Held()
-	return epoch, held && until.Sub(r.clock.Now()) > minLeaseLeft
-}
-
 // finalize returns the final counts of a window. The first call sums up the counts
 // of all writers and stores them; the commit fails if a count changed meanwhile.
 func (r *Reporter) finalize(ctx context.Context, window int64) (map[string]int64, error) {
--- a/src/driver/driver.go
+++ b/src/driver/driver.go
@@ -21,8 +21,8 @@
 const LeaseKey = "lease//driver"
 
 const (
-	// renewInterval is the longest time between steps of the lease.
-	renewInterval = 350 * time.Millisecond
+	// maxRenewInterval is the longest time between steps of the lease.
+	maxRenewInterval = 350 * time.Millisecond
 	// contentionJitter is the range of the random delay that keeps contenders
 	// from trying at the same time.
 	contentionJitter = 40 * time.Millisecond
@@ -35,9 +35,8 @@
 	agedDelay = 250 * time.Millisecond
 	// defaultRetention applies where the settings set no retention.
 	defaultRetention = 10 * time.Minute
-	// leaseTimeout bounds one step of the lease, so that a holder can try twice
-	// within its term.
-	leaseTimeout = 600 * time.Millisecond
+	// maxLeaseTimeout bounds one step of the lease.
+	maxLeaseTimeout = 600 * time.Millisecond
 	// leaveRetryDelay is the time between attempts to hand over.
 	leaveRetryDelay = 100 * time.Millisecond
 )
@@ -239,7 +238,7 @@
 // whether the store answered.
 func (d *Driver) stepLease(ctx context.Context) bool {
 	d.lease.SetTakeoverDelay(d.acquireDelay())
-	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.leaseTimeout())
 	defer cancel()
 	if err := d.lease.Step(ctx); err != nil {
 		d.log.Info("lease not renewed", "cause", err.Error())
@@ -250,11 +249,17 @@
 
 // pause returns the time until the next step of the lease.
 func (d *Driver) pause() time.Duration {
-	return min(d.lease.StepDelay(renewInterval)+rand.N(contentionJitter), renewInterval)
+	interval := min(d.lease.Settings().RenewInterval(), maxRenewInterval)
+	return min(d.lease.StepDelay(interval)+rand.N(contentionJitter), interval)
+}
+
+// leaseTimeout returns how long one step of the lease may take.
+func (d *Driver) leaseTimeout() time.Duration {
+	return min(d.lease.Settings().StepTimeout(), maxLeaseTimeout)
 }
 
 func (d *Driver) release(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.leaseTimeout())
 	defer cancel()
 	if err := d.lease.Release(ctx); err != nil {
 		d.log.Info("lease not released", "cause", err.Error())
--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -105,6 +105,18 @@
 	}
 }
 
+// TestShortLease guards against weights that are never ordered because a fixed time
+// must be left of a lease whose length the settings give.
+func TestShortLease(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 1)
+	f.leaseTime = 1200 * time.Millisecond
+	f.registry.ApplyOperators([]sesamepitch.Row{{Key: "op//version", Version: 2}}, false)
+	f.startDriver("a")
+	f.submit("j", 2, "x")
+	assert.DeepEqual(t, f.results("j", 1, 8*time.Second)["x"].Versions, []int64{2})
+}
+
 // TestOutputOfLostVersion guards against an item that waits for ever for an engine
 // with the version that its output began with, after all engines have newer weights.
 func TestOutputOfLostVersion(t *testing.T) {
--- a/src/driver/fixture_test.go
+++ b/src/driver/fixture_test.go
@@ -26,12 +26,14 @@
 	engines  *fakeEngines
 	rewards  *fakeRewards
 	registry *registry.Registry
+	// leaseTime is the takeover time of the driver lease.
+	leaseTime time.Duration
 }
 
 func newFixture(t *testing.T, engineCount int) *fixture {
 	t.Helper()
 	clock := sesamepitch.SystemClock{}
-	f := &fixture{t: t, store: standin.NewMemory(), engines: newFakeEngines(), rewards: newFakeRewards("s0", "s1", "s2"), registry: registry.New(clock, decoder{})}
+	f := &fixture{t: t, leaseTime: 3 * time.Second, store: standin.NewMemory(), engines: newFakeEngines(), rewards: newFakeRewards("s0", "s1", "s2"), registry: registry.New(clock, decoder{})}
 	f.rewards.engines = f.engines
 	f.ledger = batch.NewLedger(clock, f.store)
 	f.registry.ApplyOperators([]sesamepitch.Row{{Key: "op//config", Version: 1}, {Key: "op//version", Version: 1}}, true)
@@ -59,7 +61,7 @@
 // newDriverAs is newDriver for an instance that is as eligible as given.
 func (f *fixture) newDriverAs(instance, address string, eligibility driver.Eligibility, options ...driver.Option) *driver.Driver {
 	clock := sesamepitch.SystemClock{}
-	driverLease := driver.NewLease(clock, f.store, instance, address, 3*time.Second)
+	driverLease := driver.NewLease(clock, f.store, instance, address, f.leaseTime)
 	return driver.New(clock, logr.Discard(), f.store, f.ledger, f.registry, f.engines, f.engines, f.rewards, driverLease, instance, eligibility, options...)
 }
 
--- a/src/driver/loader.go
+++ b/src/driver/loader.go
@@ -44,8 +44,6 @@
 	// closedConnectionTime is the time within which an order fails on a
 	// kept-alive connection that the engine had closed.
 	closedConnectionTime = 150 * time.Millisecond
-	// minLeaseRemaining is the least remaining lease time for sending an order.
-	minLeaseRemaining = 600 * time.Millisecond
 )
 
 // loader orders engines to load weights and polls them until they have.
@@ -102,8 +100,8 @@
 
 // mayOrder reports whether an order sent now arrives before the lease expires.
 func (l *loader) mayOrder() bool {
-	epoch, until, held := l.lease.Held()
-	return held && epoch == l.epoch && until.Sub(l.clock.Now()) > minLeaseRemaining
+	epoch, ok := l.lease.MayCall()
+	return ok && epoch == l.epoch
 }
 
 // begin starts one load. The caller holds the session's mutex.
--- a/src/lease/lease.go
+++ b/src/lease/lease.go
@@ -58,6 +58,12 @@
 }
 
 const (
+	// callShare is the share of the time for which a renewal holds the lease that must
+	// be left for a fenced call, renewShare the share between renewals, and stepShare
+	// the share that a step may take, so that a holder can try twice.
+	callShare  = 0.5
+	renewShare = 0.3
+	stepShare  = 0.5
 	// ttlShare and marginShare are the TTL and the margin as fractions of the
 	// takeover time.
 	ttlShare    = 0.5
@@ -73,6 +79,15 @@
 	}
 }
 
+// held returns how long a renewal holds the lease.
+func (s Settings) held() time.Duration { return s.TTL - s.Margin }
+
+// RenewInterval returns the time between renewals by a holder.
+func (s Settings) RenewInterval() time.Duration { return time.Duration(renewShare * float64(s.held())) }
+
+// StepTimeout returns the time that a step may take.
+func (s Settings) StepTimeout() time.Duration { return time.Duration(stepShare * float64(s.held())) }
+
 // Lease is one process's handle on a lease, as holder or contender.
 type Lease struct {
 	clock    sesamepitch.Clock
@@ -127,6 +142,16 @@
 	return l.record.Epoch, l.until, true
 }
 
+// MayCall implements sesamepitch.LeaseHolder.
+func (l *Lease) MayCall() (epoch int64, ok bool) {
+	epoch, until, held := l.Held()
+	left := time.Duration(callShare * float64(l.settings.held()))
+	return epoch, held && until.Sub(l.clock.Now()) > left
+}
+
+// Settings returns the lease's times.
+func (l *Lease) Settings() Settings { return l.settings }
+
 // SetNote sets the note for a successor, which the next renewals write.
 func (l *Lease) SetNote(note string) {
 	l.mu.Lock()
@@ -150,6 +175,14 @@
 	return epoch, until, true
 }
 
+// MayCall implements sesamepitch.LeaseHolder.
+func (h fencedHolder) MayCall() (epoch int64, ok bool) {
+	if h.lease.inHoldOff() {
+		return 0, false
+	}
+	return h.lease.MayCall()
+}
+
 func (l *Lease) inHoldOff() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -306,7 +339,7 @@
 	l.uncertainSince = time.Time{}
 	l.record = record
 	l.version = version
-	l.until = sent.Add(l.settings.TTL - l.settings.Margin)
+	l.until = sent.Add(l.settings.held())
 }
 
 func (l *Lease) setLost(record Record, version int64) {
--- a/src/ratelimit/gate_test.go
+++ b/src/ratelimit/gate_test.go
@@ -25,6 +25,8 @@
 	return l.epoch, time.Time{}, l.holder == l.instance
 }
 
+func (l *fakeLease) MayCall() (int64, bool) { return l.epoch, l.holder == l.instance }
+
 func (l *fakeLease) Record() lease.Record {
 	return lease.Record{Holder: l.holder, Address: l.holder, Epoch: l.epoch}
 }
--- a/src/scaling/scaler.go
+++ b/src/scaling/scaler.go
@@ -18,8 +18,6 @@
 	pollInterval = 500 * time.Millisecond
 	// callTimeout is the timeout of one table call.
 	callTimeout = time.Second
-	// minLeaseTime is the time that the lease must still last when an order is sent.
-	minLeaseTime = 650 * time.Millisecond
 	// targetPrefix is the key prefix of the capacity targets; the service's name
 	// follows.
 	targetPrefix = "strength//"
@@ -80,7 +78,7 @@
 // poll reconciles the services that have scaling settings.
 func (s *Scaler) poll(ctx context.Context) {
 	config := s.registry.Config()
-	epoch, held := s.heldEpoch()
+	epoch, held := s.lease.MayCall()
 	if !held || config == nil || !s.registry.Complete() {
 		return
 	}
@@ -101,13 +99,6 @@
 	}
 }
 
-// heldEpoch returns the lease's epoch, and whether the lease is held for at least
-// minLeaseTime.
-func (s *Scaler) heldEpoch() (epoch int64, held bool) {
-	epoch, until, held := s.lease.Held()
-	return epoch, held && until.Sub(s.clock.Now()) > minLeaseTime
-}
-
 // plannerOf returns a service's planner. The first call reads the target that an
 // earlier lease holder has stored.
 func (s *Scaler) plannerOf(ctx context.Context, service string, scaling registry.Scaling) (*storedPlanner, error) {
@@ -141,7 +132,7 @@
 	}
 	excluded := s.registry.CentresOut()
 	for _, o := range p.orders(s.clock.Now(), excluded) {
-		if epoch, held := s.heldEpoch(); !held || epoch != s.epoch {
+		if epoch, held := s.lease.MayCall(); !held || epoch != s.epoch {
 			return
 		}
 		err := s.placeOrder(ctx, service, p, o)
--- a/src/scaling/scaling_test.go
+++ b/src/scaling/scaling_test.go
@@ -154,6 +154,8 @@
 
 func (h leaseHolder) Held() (int64, time.Time, bool) { return 7, time.Now().Add(time.Minute), h.held }
 
+func (h leaseHolder) MayCall() (int64, bool) { return 7, h.held }
+
 type decoder struct{}
 
 func (decoder) Config(sesamepitch.Row) (*registry.Config, error) {
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -288,6 +288,9 @@
 	// Held returns the fencing number and the end of the lease; ok is false if
 	// this instance does not hold it.
 	Held() (epoch int64, until time.Time, ok bool)
+	// MayCall returns the fencing number, and whether a fenced call that is sent now
+	// arrives before the lease ends.
+	MayCall() (epoch int64, ok bool)
 }
 
 // WindowUsage contains the number of requests of each workspace that started in
