An endpoint's own word that it is leaving counts, in touch or not

Callers and endpoints saw: an instance whose list was out of date, or that was cut off from the store, went on sending to an endpoint that said Server-Leaving: 1 in its answers; no code read the header.

Change: the adapter decodes the header on every answer (requests, heads of streams, items, checks, reports, orders) into a typed statement. The registry keeps the word beside the row: Endpoint.Draining, LeavingBy (table, answer, instance) and LeavingSince are the one notion that choice, retries, reward calls, warm connections, placement, loads and orders for endpoints see. departure.Gate, before the rate limits' gate on the wire, refuses what was asked for later than the drain time after the word, from every sender. Where all endpoints of a service are leaving, requests use what is left of the drain time (half of it for a row, which may be read late), then are refused at once. Runs on a leaving engine move when the time left is short, also for those whose row says so. Instances tell each other in their member rows. A malformed statement is logged once.

Which process: a word holds for processes that had started by the drain time before it was heard, or the one that was addressed. Only a new process takes it back: rows written later still say ready on platforms whose endpoints never report that they drain.

--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -105,6 +105,23 @@
 	}
 }
 
+// TestRunLeftOnLeavingEngine guards against a run that stays at an engine which has
+// said that it is leaving until the engine ends.
+func TestRunLeftOnLeavingEngine(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 2)
+	f.engines.scripts["x"] = []script{{last: 30, err: sesamepitch.ErrComplete, eventTime: 300 * time.Millisecond}, complete}
+	f.startDriver("a")
+	f.submit("j", 1, "x")
+	eventually(t, func() bool { return f.engines.engineInUse() != "" })
+	leaving := f.engines.engineInUse()
+	f.registry.Hear(sesamepitch.Destination{ID: leaving, Address: leaving})
+	result := f.results("j", 1, 5*time.Second)["x"]
+	assert.Equal(t, result.Output, outputOf("x"))
+	runs := f.engines.runsOf("x")
+	assert.Assert(t, len(runs) == 2 && runs[1] >= 1, "runs %v", runs)
+}
+
 // TestShortLease guards against weights that are never ordered because a fixed time
 // must be left of a lease whose length the settings give.
 func TestShortLease(t *testing.T) {
--- a/src/driver/fakes_test.go
+++ b/src/driver/fakes_test.go
@@ -139,6 +139,18 @@
 	return append([]int64(nil), e.runs[item]...)
 }
 
+// engineInUse returns an engine that runs an item; empty if there is none.
+func (e *fakeEngines) engineInUse() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, running := range e.running {
+		if running > 0 {
+			return id
+		}
+	}
+	return ""
+}
+
 type fakeGeneration struct {
 	engines *fakeEngines
 	ctx     context.Context
--- a/src/driver/session.go
+++ b/src/driver/session.go
@@ -186,6 +186,9 @@
 		}
 	}
 	for id, e := range s.engineStates {
+		if entry, found := s.registry.Endpoint(id); found && !e.listed && entry.Born == e.entry.Born {
+			e.entry = entry // it may be leaving: its runs are moved in time
+		}
 		if !e.listed && e.running == 0 && e.loadingModel == "" {
 			delete(s.engineStates, id)
 		}
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -88,6 +88,8 @@
 type choice struct {
 	service string
 	route   registry.Route
+	// asked is when the caller's request arrived.
+	asked time.Time
 	// tried are the endpoints that are not chosen again; avoided ones are chosen
 	// only if there is no other.
 	tried, avoided map[string]bool
@@ -115,7 +117,7 @@
 	if !g.mayServe(c.route) {
 		return registry.Endpoint{}, false
 	}
-	endpoints := g.registry.Endpoints(c.service)
+	endpoints := g.endpointsFor(c)
 	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
 	now := g.clock.Now()
 	g.mu.Lock()
@@ -147,6 +149,15 @@
 	return best.endpoint, found
 }
 
+// endpointsFor returns the endpoints of a service, or, if all are leaving, those
+// that may still get the request.
+func (g *Gateway) endpointsFor(c choice) []registry.Endpoint {
+	if staying := g.registry.Endpoints(c.service); len(staying) > 0 {
+		return staying
+	}
+	return g.registry.Departing(c.service, c.asked)
+}
+
 // acquire chooses an endpoint whose rate allows the request. Without one it waits
 // for the first that will within c.patience. If there is none, retryIn is the time
 // after which a request may be allowed, zero if it is not the rate that keeps it.
@@ -176,7 +187,7 @@
 	if !g.mayServe(c.route) {
 		return soonest, 0, false
 	}
-	endpoints := g.registry.Endpoints(c.service)
+	endpoints := g.endpointsFor(c)
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/src/gateway/dispatch.go
+++ b/src/gateway/dispatch.go
@@ -117,7 +117,7 @@
 // acquire returns an endpoint for the next try. Only a request without any try under
 // way waits for an endpoint's rate to allow it.
 func (d *dispatch) acquire(ctx context.Context, running int) (registry.Endpoint, bool) {
-	c := choice{service: d.service, route: d.admission.Route, tried: d.tried}
+	c := choice{service: d.service, route: d.admission.Route, asked: d.start, tried: d.tried}
 	if running == 0 {
 		c.patience = d.limitPatience()
 	}
@@ -157,7 +157,7 @@
 	began := d.gateway.clock.Now()
 	var answer sesamepitch.Answer
 	err := supervisor.Guard(func() (err error) {
-		answer, err = d.gateway.forward.Forward(ctx, admitted(endpoint), request)
+		answer, err = d.gateway.forward.Forward(ctx, d.admitted(endpoint), request)
 		return err
 	})
 	done(err)
@@ -239,10 +239,10 @@
 // process names an endpoint's process: an endpoint may restart under its ID.
 func process(e registry.Endpoint) string { return fmt.Sprint(e.ID, "@", e.Born) }
 
-// admitted returns the destination of a request that the endpoint's rate allows.
-func admitted(e registry.Endpoint) sesamepitch.Destination {
+// admitted returns the destination of the request, which the endpoint's rate allows.
+func (d *dispatch) admitted(e registry.Endpoint) sesamepitch.Destination {
 	to := destination(e)
-	to.Admitted = true
+	to.Admitted, to.Asked = true, d.start
 	return to
 }
 
--- a/src/gateway/reward.go
+++ b/src/gateway/reward.go
@@ -55,7 +55,7 @@
 	})
 	d.content = "" // an item's call is never one that crashes endpoints by itself
 	endpoint, retryIn, found := g.acquire(context.Background(), choice{
-		service: d.service, route: route, tried: setOf(excluded), avoided: setOf(avoided), slotShare: rewardSlotShare, immediate: true,
+		service: d.service, route: route, asked: d.start, tried: setOf(excluded), avoided: setOf(avoided), slotShare: rewardSlotShare, immediate: true,
 	})
 	if !found && retryIn > 0 {
 		return nil, &Error{Op: "reward", Kind: sesamepitch.KindUnavailable, Err: errLimited}
--- a/src/gateway/stream.go
+++ b/src/gateway/stream.go
@@ -32,7 +32,7 @@
 		d.tried[endpoint.ID] = true
 		done := d.gateway.trackRequest(endpoint)
 		began := d.gateway.clock.Now()
-		cause = d.gateway.forward.Stream(ctx, admitted(endpoint), request, sink)
+		cause = d.gateway.forward.Stream(ctx, d.admitted(endpoint), request, sink)
 		done(cause)
 		d.record(ctx, try{endpoint: endpoint, began: began, err: cause})
 		if cause == nil {
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -17,6 +17,7 @@
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 	"sesamepitch/src/billing"
+	"sesamepitch/src/departure"
 	"sesamepitch/src/driver"
 	"sesamepitch/src/eventlog"
 	"sesamepitch/src/gateway"
@@ -71,16 +72,18 @@
 	gateway   *gateway.Gateway
 	endpoints Endpoints
 	limits    *ratelimit.Gate
-	meter     *billing.Meter
-	reporter  *billing.Reporter
-	scaler    *scaling.Scaler
-	metrics   *metrics
-	checks    *invariant.Recorder
-	memory    *BodyBudget
-	draining  atomic.Bool
-	isolation *isolation
-	pauses    *pauseGuard
-	suspects  *quarantine.List
+	// departures keeps requests from endpoints that are leaving.
+	departures *departure.Gate
+	meter      *billing.Meter
+	reporter   *billing.Reporter
+	scaler     *scaling.Scaler
+	metrics    *metrics
+	checks     *invariant.Recorder
+	memory     *BodyBudget
+	draining   atomic.Bool
+	isolation  *isolation
+	pauses     *pauseGuard
+	suspects   *quarantine.List
 }
 
 // New returns an instance that logs to out.
@@ -102,7 +105,8 @@
 	log.SetOutput(io.Discard)
 	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryBytes)))
 	i.checks = invariant.New(i.log)
-	i.registry = registry.New(clock, adapter.Decoder)
+	i.registry = registry.New(clock, adapter.Decoder, registry.WithDrainTime(settings.Bounds.Drain))
+	i.departures = departure.New(clock, i.log, i.registry)
 	i.store = relay.New(clock, i.log, adapter.Store, i.peers, func() []string { return i.members.Peers() })
 	i.members = registry.NewMembers(clock, i.log, i.store, settings.Instance, settings.Centre, settings.Peers, settings.Cores, settings.Seeds, i.suspects)
 	if err := relay.Register(i.rpc, i.store); err != nil {
@@ -124,7 +128,8 @@
 	i.lease = driver.NewLease(i.clock, i.store, s.Instance, s.Peers, s.Bounds.Lease)
 	i.limits = ratelimit.New(i.clock, i.log, ratelimit.NewStatements(i.clock, i.log), i.lease, i.members, i.peers, ratelimit.WithColdRate(i.coldRate), ratelimit.WithChecks(i.checks))
 	i.members.ShareLimits(i.limits)
-	i.endpoints = i.adapter.Connect(i.limits)
+	i.members.ShareLeaving(i.departures)
+	i.endpoints = i.adapter.Connect(gates{i.departures, i.limits})
 	i.metrics = newMetrics(i)
 	ledger := batch.NewLedger(i.clock, i.store, batch.WithRowBytes(s.RowBytes))
 	guard := lease.NewTransport(i.lease, s.Source)
@@ -232,7 +237,7 @@
 			continue
 		}
 		i.log.Info("endpoint", "endpoint", id, "service", e.Service, "data_centre", e.Centre, "address", e.Address,
-			"row", e.Revision, "known", known, "draining", e.Draining, "cold", !e.ColdUntil.IsZero(), "reclaimable", e.Reclaimable)
+			"row", e.Revision, "known", known, "draining", e.Draining, "leaving_by", string(e.LeavingBy), "cold", !e.ColdUntil.IsZero(), "reclaimable", e.Reclaimable)
 	}
 	for id, e := range before {
 		if _, present := after[id]; !present {
--- a/src/ratelimit/gate.go
+++ b/src/ratelimit/gate.go
@@ -237,8 +237,8 @@
 }
 
 // Answered implements sesamepitch.RequestGate.
-func (g *Gate) Answered(to sesamepitch.Destination, sent time.Time, limit sesamepitch.StatedLimit) {
-	said, changed := g.statements.Hear(to, sent, limit)
+func (g *Gate) Answered(to sesamepitch.Destination, sent time.Time, stated sesamepitch.Statement) {
+	said, changed := g.statements.Hear(to, sent, stated.Limit)
 	if !changed {
 		return
 	}
--- a/src/ratelimit/gate_test.go
+++ b/src/ratelimit/gate_test.go
@@ -77,7 +77,7 @@
 
 // hear has an instance hear of a limit.
 func (c *cluster) hear(name string, to sesamepitch.Destination, limit sesamepitch.StatedLimit) {
-	c.gates[name].Answered(to, c.clock.now, limit)
+	c.gates[name].Answered(to, c.clock.now, sesamepitch.Statement{Limit: limit})
 }
 
 // sendFor has each instance ask for a request every 10 ms, and returns the times
--- a/src/ratelimit/service_test.go
+++ b/src/ratelimit/service_test.go
@@ -46,7 +46,7 @@
 func TestAskOverNetwork(t *testing.T) {
 	granter, asker := newPeers(t)
 	now := time.Now()
-	asker.Answered(limitedEndpoint, now, named(5))
+	asker.Answered(limitedEndpoint, now, sesamepitch.Statement{Limit: named(5)})
 	_, admitted := asker.Take(context.Background(), limitedEndpoint, 0)
 	assert.Assert(t, admitted)
 	assert.Equal(t, granter.Interval(limitedEndpoint), 200*time.Millisecond, "the granter knows from the question")
@@ -56,7 +56,7 @@
 	_, admitted = asker.Take(context.Background(), limitedEndpoint, time.Second)
 	waited := time.Since(began)
 	assert.Assert(t, admitted && waited > 100*time.Millisecond && waited < 400*time.Millisecond, "after %s", waited)
-	asker.Answered(limitedEndpoint, time.Now().Add(time.Second), sesamepitch.StatedLimit{})
+	asker.Answered(limitedEndpoint, time.Now().Add(time.Second), sesamepitch.Statement{Limit: sesamepitch.StatedLimit{}})
 	asker.tell(context.Background(), <-asker.news)
 	asker.tell(context.Background(), <-asker.news)
 	assert.Equal(t, granter.Interval(limitedEndpoint), time.Duration(0))
@@ -90,7 +90,7 @@
 	for i := range 64 {
 		to := sesamepitch.Destination{ID: fmt.Sprint("e", i)}
 		endpoints = append(endpoints, to)
-		asker.Answered(to, time.Now(), named(9000))
+		asker.Answered(to, time.Now(), sesamepitch.Statement{Limit: named(9000)})
 	}
 	for i := 0; b.Loop(); i++ {
 		asker.Take(context.Background(), endpoints[i%len(endpoints)], time.Second)
--- a/src/registry/announce.go
+++ b/src/registry/announce.go
@@ -41,6 +41,7 @@
 		case <-m.clock.After(wait - minAnnounceInterval):
 		case <-m.suspects.Changed():
 		case <-m.limits.Changed():
+		case <-m.leaving.Changed():
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -61,7 +62,7 @@
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	m.renewal++
-	row := memberRow{Address: m.address, Centre: m.centre, Cores: m.cores, Started: m.started, Renewal: m.renewal, Crashes: m.suspects.Reports(), Limits: m.limits.Share()}
+	row := memberRow{Address: m.address, Centre: m.centre, Cores: m.cores, Started: m.started, Renewal: m.renewal, Crashes: m.suspects.Reports(), Limits: m.limits.Share(), Leaving: m.leaving.Share()}
 	_, err := m.table.Commit(ctx, sesamepitch.Txn{Writes: []sesamepitch.Write{{Key: memberKey(m.name), Value: rowstore.Encode(row)}}})
 	return err
 }
--- a/src/registry/endpoint.go
+++ b/src/registry/endpoint.go
@@ -10,12 +10,16 @@
 	Address string
 	Centre  string
 	Slots   int
-	// Draining endpoints get no new work.
-	Draining bool
+	// Draining endpoints get no new work. LeavingBy is how this instance learned that
+	// the endpoint is leaving, LeavingSince when; both are empty if it is not.
+	Draining     bool
+	LeavingBy    Source
+	LeavingSince time.Time
 	// ColdUntil is the end of the slow phase after a start; zero if warm.
 	ColdUntil time.Time
 	// Reclaimable endpoints are cheaper, but the platform may reclaim them.
-	// LeavesAt is the time of an announced reclaim; zero if none is announced.
+	// LeavesAt is the time of an announced reclaim, or the earliest time at which an
+	// endpoint that is leaving may end; zero if neither is known.
 	Reclaimable bool
 	LeavesAt    time.Time
 	// Versions maps each model to its weight version.
--- a/src/registry/members.go
+++ b/src/registry/members.go
@@ -38,8 +38,33 @@
 	Crashes []quarantine.Report `json:"crashes,omitempty"`
 	// Limits are the endpoints' rate limits; the granter of requests shares them.
 	Limits []ratelimit.Statement `json:"limits,omitempty"`
+	// Leaving are the endpoints that told the instance that they are leaving.
+	Leaving []Word `json:"leaving,omitempty"`
 }
 
+// LeavingSharer shares which endpoints told instances that they are leaving;
+// departure.Gate implements it.
+type LeavingSharer interface {
+	// Share returns what this instance publishes, Receive applies what another one
+	// has published.
+	Share() []Word
+	Receive(words []Word)
+	// Changed returns a channel that receives when there is something new.
+	Changed() <-chan struct{}
+}
+
+// noneLeaving is a LeavingSharer that shares nothing.
+type noneLeaving struct{}
+
+// Share implements LeavingSharer.
+func (noneLeaving) Share() []Word { return nil }
+
+// Receive implements LeavingSharer.
+func (noneLeaving) Receive([]Word) {}
+
+// Changed implements LeavingSharer.
+func (noneLeaving) Changed() <-chan struct{} { return nil }
+
 // LimitSharer shares what instances know of endpoints' rate limits; ratelimit.Gate
 // implements it.
 type LimitSharer interface {
@@ -78,6 +103,7 @@
 	// row, those of others are read from theirs.
 	suspects *quarantine.List
 	limits   LimitSharer
+	leaving  LeavingSharer
 
 	// announcedSince is the start of the time in which no renewal failed.
 	announcedSince time.Time
@@ -106,7 +132,7 @@
 func NewMembers(clock sesamepitch.Clock, log logr.Logger, table sesamepitch.Table, name, centre, address string, cores float64, seeds []string, suspects *quarantine.List) *Members {
 	return &Members{
 		clock: clock, log: log, table: table, name: name, centre: centre, address: address, cores: cores, seeds: seeds,
-		started: clock.Now().UnixMilli(), suspects: suspects, limits: nothingShared{}, members: map[string]memberState{},
+		started: clock.Now().UnixMilli(), suspects: suspects, limits: nothingShared{}, leaving: noneLeaving{}, members: map[string]memberState{},
 	}
 }
 
@@ -114,6 +140,10 @@
 // limits. It must be called before Run and Apply.
 func (m *Members) ShareLimits(limits LimitSharer) { m.limits = limits }
 
+// ShareLeaving makes the rows also share which endpoints are leaving. It must be
+// called before Run and Apply.
+func (m *Members) ShareLeaving(leaving LeavingSharer) { m.leaving = leaving }
+
 // Apply applies an update of MemberTable.
 func (m *Members) Apply(update Update) {
 	m.mu.Lock()
@@ -142,6 +172,7 @@
 		if name != m.name {
 			m.suspects.SetReports(fmt.Sprint(name, "@", decoded.Started), decoded.Crashes)
 			m.limits.Receive(decoded.Limits)
+			m.leaving.Receive(decoded.Leaving)
 		}
 		m.members[name] = memberState{address: decoded.Address, centre: decoded.Centre, cores: decoded.Cores, started: decoded.Started, seenAt: m.clock.Now(), version: row.Version}
 	}
--- a/src/registry/registry.go
+++ b/src/registry/registry.go
@@ -62,15 +62,24 @@
 	// endpointsComplete is set once all endpoints have been read.
 	endpointsComplete bool
 	changed           chan struct{}
+	// words are those of leaving endpoints, by ID; drainTime is how long such an
+	// endpoint still serves.
+	words     map[string]heardWord
+	drainTime time.Duration
 }
 
 // New returns an empty registry.
-func New(clock sesamepitch.Clock, decoder Decoder) *Registry {
-	return &Registry{
+func New(clock sesamepitch.Clock, decoder Decoder, options ...Option) *Registry {
+	r := &Registry{
 		clock: clock, decoder: decoder,
 		endpoints: map[string]Endpoint{}, centresOut: map[string]bool{}, versions: map[string]int64{},
 		rowVersions: map[string]int64{}, expiring: map[string]time.Time{}, changed: make(chan struct{}),
+		words: map[string]heardWord{}, drainTime: defaultDrainTime,
 	}
+	for _, option := range options {
+		option(r)
+	}
+	return r
 }
 
 // Config returns the configuration in force, or nil if none has been read.
@@ -228,6 +237,7 @@
 			continue
 		}
 		delete(r.expiring, id)
+		r.markLeaving(&endpoint)
 		r.endpoints[id] = endpoint
 	}
 	if complete {
@@ -239,6 +249,7 @@
 		}
 	}
 	r.removeExpired(now)
+	r.pruneWords(now)
 	return faults
 }
 
--- a/src/traffic.go
+++ b/src/traffic.go
@@ -17,6 +17,9 @@
 	Born int64
 	// Admitted is set if a RateLimiter has admitted the request.
 	Admitted bool
+	// Asked is when the caller's request arrived; zero for a request of this instance's
+	// own, which counts as asked for when it is sent.
+	Asked time.Time
 }
 
 // Purpose is what a request to an endpoint is for.
@@ -50,14 +53,28 @@
 	Malformed string
 }
 
-// RequestGate sees each request to an endpoint before it is sent, and the limit on
-// each answer.
+// StatedLeaving is what an answer says of the endpoint's intention to leave.
+type StatedLeaving struct {
+	// Leaving is set if the endpoint's process is going to end.
+	Leaving bool
+	// Malformed is the text of a statement that could not be read, which says nothing.
+	Malformed string
+}
+
+// Statement is what an answer says of its endpoint, whatever the request was.
+type Statement struct {
+	Limit   StatedLimit
+	Leaving StatedLeaving
+}
+
+// RequestGate sees each request to an endpoint before it is sent, and what each
+// answer says of the endpoint.
 type RequestGate interface {
 	// Admit returns an error if the request must not be sent.
 	Admit(ctx context.Context, to Destination, purpose Purpose) error
 	// Answered records what the answer to a request sent at the given time says of
-	// the endpoint's limit.
-	Answered(to Destination, sent time.Time, limit StatedLimit)
+	// the endpoint.
+	Answered(to Destination, sent time.Time, said Statement)
 }
 
 // MinDeniedTime and maxDeniedTime bound how long an endpoint is left out after a
@@ -105,7 +122,7 @@
 func (OpenGate) Admit(context.Context, Destination, Purpose) error { return nil }
 
 // Answered implements RequestGate.
-func (OpenGate) Answered(Destination, time.Time, StatedLimit) {}
+func (OpenGate) Answered(Destination, time.Time, Statement) {}
 
 // Request is a caller's request to forward to an endpoint.
 type Request struct {
