An append keeps to the store's limits, and what it refuses is not repeated

Checkpoints were measured before JSON escapes them: six bytes for each <, > and &. Either was refused by the store and repeated for ever by appendWithRetry, with all later results of the job behind it.

Change: both are counted as sent. A refusal as invalid is passed through; the driver then drops the checkpoints, which only save work, says so, and goes on with the results.

Evidence: TestTransactionRefusedForever, "101 entries" before; TestPartialCheckpoint has a row for escaped text.

--- a/src/batch/batch_test.go
+++ b/src/batch/batch_test.go
@@ -145,7 +145,7 @@
 }
 
 func (s boundedStore) Commit(ctx context.Context, txn sesamepitch.Txn) (int64, error) {
-	assert.Check(s.t, len(txn.Checks)+len(txn.Writes) <= 101, "%d entries", len(txn.Checks)+len(txn.Writes))
+	assert.Check(s.t, len(txn.Checks)+len(txn.Writes) <= 100, "%d entries", len(txn.Checks)+len(txn.Writes))
 	for _, write := range txn.Writes {
 		assert.Check(s.t, len(write.Value) <= s.rowBytes, "%s has %d bytes", write.Key, len(write.Value))
 	}
--- a/src/batch/checkpoint.go
+++ b/src/batch/checkpoint.go
@@ -38,15 +38,22 @@
 	Complete bool `json:"complete,omitempty"`
 }
 
-// Size returns the size of the events in bytes.
+// Size returns the size of the events in a row, in bytes.
 func (c Checkpoint) Size() int {
 	size := 0
 	for _, event := range c.Events {
-		size += len(event)
+		size += EncodedSize(event)
 	}
 	return size
 }
 
+// EncodedSize returns the size of an event in a row, in bytes: JSON escapes some
+// characters.
+func EncodedSize(event string) int {
+	const quotes = 2
+	return len(rowstore.Encode(event)) - quotes
+}
+
 func checkpointKey(id string, c Checkpoint) string {
 	return checkpointPrefix(id, c.Item) + fmt.Sprintf("%015d/%06d", c.Attempt, c.From)
 }
--- a/src/batch/checkpoint_test.go
+++ b/src/batch/checkpoint_test.go
@@ -149,3 +149,23 @@
 	_, known = claim("e", 5).Finished()
 	assert.Assert(t, !known)
 }
+
+// TestTransactionRefusedForever guards against an append of more entries than the
+// store takes at once, which is refused each time it is repeated.
+func TestTransactionRefusedForever(t *testing.T) {
+	ctx := context.Background()
+	store := boundedStore{Memory: standin.NewMemory(), t: t, rowBytes: 65536}
+	ledger := batch.NewLedger(sesamepitch.SystemClock{}, store)
+	assert.NilError(t, ledger.Accept(ctx, jobOf("j", "guild", 200, 10)))
+	claim, err := ledger.Claim(ctx, "j", "a", 1)
+	assert.NilError(t, err)
+	var results []batch.Result
+	for i := range 200 {
+		results = append(results, batch.Result{ID: fmt.Sprintf("item-%d", i), State: batch.Done, Output: "x", Versions: []int64{3}})
+	}
+	var checkpoints []batch.Checkpoint
+	for i := range batch.MaxCheckpoints {
+		checkpoints = append(checkpoints, batch.Checkpoint{Item: i, Attempt: 1, Events: []string{"y"}})
+	}
+	assert.NilError(t, claim.Append(ctx, results[:ledger.AppendLimit(results)], checkpoints))
+}
--- a/src/batch/ledger.go
+++ b/src/batch/ledger.go
@@ -30,9 +30,11 @@
 	// maxTxnBytes keeps a base64-encoded transaction below the store's limit of
 	// 1 MB.
 	maxTxnBytes = 600_000
-	// maxTxnRows keeps a transaction, including the cursor and MaxCheckpoints,
-	// within the store's limit of 100 entries.
-	maxTxnRows = 100 - 1 - MaxCheckpoints
+	// maxTxnEntries is the store's limit; the cursor counts twice, as it is expected
+	// and written. maxTxnRows keeps a transaction with MaxCheckpoints within it.
+	maxTxnEntries = 100
+	cursorEntries = 2
+	maxTxnRows    = maxTxnEntries - cursorEntries - MaxCheckpoints
 	// retryInterval is the delay before a write is retried.
 	retryInterval = 60 * time.Millisecond
 	// headerCacheSize is the maximum number of cached headers.
--- a/src/batch/results.go
+++ b/src/batch/results.go
@@ -86,7 +86,7 @@
 
 // Append stores results at the next positions together with checkpoints, in one
 // transaction. KindConflict means that the claim has ended, KindUnavailable that
-// nothing was stored, and KindUnknown that the results may have been stored: the
+// nothing was stored, KindInvalid that the store will not store this, and KindUnknown that the results may have been stored: the
 // caller must repeat the same call.
 func (c *Claim) Append(ctx context.Context, results []Result, checkpoints []Checkpoint) error {
 	next := c.cursor
@@ -117,8 +117,8 @@
 		return nil
 	case sesamepitch.KindConflict:
 		return c.readBack(ctx, next)
-	case sesamepitch.KindUnknown:
-		return &Error{Op: "batch.commit", Kind: sesamepitch.KindUnknown, Err: err}
+	case sesamepitch.KindUnknown, sesamepitch.KindInvalid:
+		return &Error{Op: "batch.commit", Kind: sesamepitch.KindOf(err), Err: err}
 	default:
 		return &Error{Op: "batch.commit", Kind: sesamepitch.KindUnavailable, Err: err}
 	}
--- a/src/driver/engine_test.go
+++ b/src/driver/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 	"sesamepitch/src/registry"
+	"sesamepitch/src/rowstore"
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
@@ -350,6 +352,8 @@
 		}
 		long.output.add(sesamepitch.Event{Data: strings.Repeat("x", 100), Version: version})
 	}
+	escaped := &task{output: output{events: slices.Repeat([]string{strings.Repeat("<", 100)}, 50), eventVersions: make([]int64, 50)}}
+	assert.Assert(t, len(rowstore.Encode(escaped.nextCheckpoint(10_000))) < 11_000, "JSON makes a checkpoint too large for a row")
 	first := long.nextCheckpoint(1000)
 	assert.Equal(t, len(first.Events), 10)
 	restored := outputOfCheckpoint(first)
--- a/src/driver/job.go
+++ b/src/driver/job.go
@@ -151,6 +151,12 @@
 			s.log.Info("job taken over by another driver", "job", j.ID, "cause", err.Error())
 			s.dropJob(j)
 			return false
+		case sesamepitch.KindInvalid:
+			s.log.Info("results not recorded", "job", j.ID, "count", len(results), "kept", len(checkpoints), "cause", err.Error())
+			checkpoints = nil // results go without them; the next driver runs the items anew
+			if len(results) == 0 {
+				return true
+			}
 		}
 		select {
 		case <-s.clock.After(commitRetryDelay):
--- a/src/driver/task.go
+++ b/src/driver/task.go
@@ -100,7 +100,7 @@
 	part := batch.Checkpoint{Item: t.index, Attempt: t.attempt, From: t.checkpointed}
 	bytes := 0
 	for i := t.checkpointed; i < len(t.output.events); i++ {
-		bytes += len(t.output.events[i])
+		bytes += batch.EncodedSize(t.output.events[i])
 		if bytes > limit && len(part.Events) > 0 {
 			break
 		}
