--- a/src/command/entry.go
+++ b/src/command/entry.go
@@ -2,8 +2,11 @@
 
 import (
 	"net"
+	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"sesamepitch/platform"
 	"sesamepitch/src/instance"
@@ -12,11 +15,15 @@
 
 // runEntry runs an entry instance on the users' platform.
 func runEntry(env environment, o EntryOptions) error {
+	// First of all: until it is caught, SIGHUP ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := readSettings(o)
 	if err != nil {
 		return usageError{err.Error()}
 	}
 	adapter := platform.NewAdapter(settings)
+	adapter.Hangups = hangups
 	adapter.Reload = func() (site.Settings, error) { return readSettings(o) }
 	running, err := instance.New(settings, adapter, env.out, newLog)
 	if err != nil {
--- a/src/driver/driver_test.go
+++ b/src/driver/driver_test.go
@@ -12,6 +12,7 @@
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
+	"sesamepitch/src/registry"
 	"sesamepitch/src/standin"
 
 	"gotest.tools/v3/assert"
@@ -97,7 +98,7 @@
 func TestStaleWeights(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, 3)
-	f.registry.ApplyOperators([]sesamepitch.Row{{Key: "op//version", Version: 4}}, false)
+	f.registry.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//version", Version: 4}}})
 	f.startDriver("a")
 	f.submit("j", 3, "x", "y")
 	for _, result := range f.results("j", 2, 8*time.Second) {
@@ -128,7 +129,7 @@
 	t.Parallel()
 	f := newFixture(t, 1)
 	f.leaseTime = 1200 * time.Millisecond
-	f.registry.ApplyOperators([]sesamepitch.Row{{Key: "op//version", Version: 2}}, false)
+	f.registry.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//version", Version: 2}}})
 	f.startDriver("a")
 	f.submit("j", 2, "x")
 	assert.DeepEqual(t, f.results("j", 1, 8*time.Second)["x"].Versions, []int64{2})
@@ -143,7 +144,7 @@
 	f.startDriver("a")
 	f.submitTo("single", singleVersionHost, "j", 1, "x")
 	eventually(t, func() bool { return len(f.engines.runsOf("x")) > 0 })
-	f.registry.ApplyOperators([]sesamepitch.Row{{Key: "op//version", Version: 2}}, false)
+	f.registry.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//version", Version: 2}}})
 	result := f.results("j", 1, 8*time.Second)["x"]
 	assert.Equal(t, result.Output, outputOf("x"))
 	assert.DeepEqual(t, result.Versions, []int64{2})
@@ -169,7 +170,7 @@
 	f.engines.uncounted = 1
 	f.startDriver("a")
 	for version := int64(2); version <= 3; version++ {
-		f.registry.ApplyOperators([]sesamepitch.Row{{Key: "op//version", Version: version}}, false)
+		f.registry.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//version", Version: version}}})
 		job := fmt.Sprint("j", version)
 		f.submit(job, version, "x"+job)
 		f.results(job, 1, 8*time.Second)
--- a/src/driver/fixture_test.go
+++ b/src/driver/fixture_test.go
@@ -36,7 +36,7 @@
 	f := &fixture{t: t, leaseTime: 3 * time.Second, store: standin.NewMemory(), engines: newFakeEngines(), rewards: newFakeRewards("s0", "s1", "s2"), registry: registry.New(clock, decoder{})}
 	f.rewards.engines = f.engines
 	f.ledger = batch.NewLedger(clock, f.store)
-	f.registry.ApplyOperators([]sesamepitch.Row{{Key: "op//config", Version: 1}, {Key: "op//version", Version: 1}}, true)
+	f.registry.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//config", Version: 1}, {Key: "op//version", Version: 1}}, Complete: true})
 	var rows []sesamepitch.Row
 	for i := range engineCount {
 		rows = append(rows, sesamepitch.Row{Key: fmt.Sprintf("servers//e%d", i), Version: 1})
--- a/src/driver/limit_test.go
+++ b/src/driver/limit_test.go
@@ -10,6 +10,7 @@
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/batch"
 	"sesamepitch/src/driver"
+	"sesamepitch/src/registry"
 
 	"gotest.tools/v3/assert"
 )
@@ -98,7 +99,7 @@
 		ids = append(ids, fmt.Sprint("x", i))
 	}
 	f.submit("old", 1, ids...)
-	f.registry.ApplyOperators([]sesamepitch.Row{{Key: "op//version", Version: 2}}, false)
+	f.registry.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//version", Version: 2}}})
 	f.submit("new", 2, "y")
 	assert.Equal(t, f.results("new", 1, 8*time.Second)["y"].State, batch.Done)
 }
--- a/src/driver/weights_test.go
+++ b/src/driver/weights_test.go
@@ -180,7 +180,7 @@
 // the newer job must be ordered.
 func TestNeeded(t *testing.T) {
 	reg := registry.New(sesamepitch.SystemClock{}, versionDecoder{})
-	reg.ApplyOperators([]sesamepitch.Row{{Key: "op//version", Version: 8}}, false)
+	reg.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//version", Version: 8}}})
 	older := &job{lengths: testLengths(), target: newTarget(batch.Job{}), Job: batch.Job{Header: batch.Header{ID: "older", Model: "a", MinVersion: 6}}, open: []*task{{}}}
 	newer := &job{lengths: testLengths(), target: newTarget(batch.Job{}), Job: batch.Job{Header: batch.Header{ID: "newer", Model: "a", MinVersion: 7}}, open: []*task{{}}}
 	closed := &job{target: newTarget(batch.Job{}), Job: batch.Job{Header: batch.Header{ID: "closed", Model: "a", MinVersion: 7}}}
--- a/src/gateway/gateway_test.go
+++ b/src/gateway/gateway_test.go
@@ -80,7 +80,7 @@
 func newGateway(forward *forwarder, counts *meter, endpoints ...string) *Gateway {
 	clock := sesamepitch.SystemClock{}
 	reg := registry.New(clock, decoder{})
-	reg.ApplyOperators([]sesamepitch.Row{{Key: "op//config", Version: 1}}, true)
+	reg.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//config", Version: 1}}, Complete: true})
 	var rows []sesamepitch.Row
 	for i, id := range endpoints {
 		centre := "near"
@@ -112,7 +112,7 @@
 			reg := registry.New(clock, decoder{})
 			g := New(clock, logr.Discard(), reg, &forwarder{}, batch.NewLedger(clock, standin.NewMemory()), &meter{}, "near", "here")
 			if c.config {
-				reg.ApplyOperators([]sesamepitch.Row{{Key: "op//config", Version: 1}}, true)
+				reg.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//config", Version: 1}}, Complete: true})
 			}
 			if c.endpoints {
 				reg.ApplyEndpoints([]sesamepitch.Row{{Key: "servers//a", Value: []byte("near"), Version: 2}}, true, time.Time{})
--- a/src/instance/adapter.go
+++ b/src/instance/adapter.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 
 	sesamepitch "sesamepitch/src"
 	"sesamepitch/src/gateway"
@@ -27,6 +28,8 @@
 	// checks.
 	Callers func(*gateway.Gateway, *BodyBudget) http.Handler
 	Ready   func(func() bool) http.Handler
+	// Hangups receives when this process gets SIGHUP.
+	Hangups <-chan os.Signal
 	// Reload reads the settings again.
 	Reload func() (site.Settings, error)
 }
--- a/src/instance/instance.go
+++ b/src/instance/instance.go
@@ -199,7 +199,7 @@
 
 func (i *Instance) applyOperators(update registry.Update) {
 	before, versionsBefore := i.configVersion(), i.registry.Versions()
-	for _, fault := range i.registry.ApplyOperators(update.Rows, update.Complete) {
+	for _, fault := range i.registry.ApplyOperators(update) {
 		i.log.Info("row of the operators' table is malformed", "cause", fault.Error())
 	}
 	for model, version := range i.registry.Versions() {
--- a/src/instance/pause.go
+++ b/src/instance/pause.go
@@ -79,7 +79,7 @@
 			i.log.Info("configuration not read after a pause", "resumed", resumedAt, "cause", err.Error())
 			return
 		}
-		i.applyOperators(registry.Update{Rows: snapshot.Rows, Complete: true})
+		i.applyOperators(registry.Update{Rows: snapshot.Rows, Complete: true, Revision: snapshot.Revision})
 		i.pauses.refreshed(began)
 		i.log.Info("configuration read after a pause", "config", i.configVersion(), "ms", i.clock.Now().Sub(resumedAt).Milliseconds())
 	})
--- a/src/instance/reload.go
+++ b/src/instance/reload.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"sesamepitch/src/supervisor"
@@ -18,16 +15,13 @@
 // watchSettings reads the settings again on SIGHUP and at intervals, and logs a
 // change. Changed settings take effect at the next start.
 func (i *Instance) watchSettings(ctx context.Context) error {
-	sighups := make(chan os.Signal, 1)
-	signal.Notify(sighups, syscall.SIGHUP)
-	defer signal.Stop(sighups)
 	reload := make(chan struct{}, 1)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
 		for {
 			select {
-			case <-sighups:
+			case <-i.adapter.Hangups:
 				i.log.Info("SIGHUP received")
 				supervisor.Wake(reload)
 			case <-ctx.Done():
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -34,11 +34,12 @@
 }
 
 // Update is a set of rows read by a Follower: all rows of the table if Complete,
-// otherwise those that changed. StoreRecoveredAt is the end of the last outage
+// otherwise those that changed. Revision is that of the table; StoreRecoveredAt is the end of the last outage
 // of the store; zero if there was none.
 type Update struct {
 	Rows             []sesamepitch.Row
 	Complete         bool
+	Revision         int64
 	StoreRecoveredAt time.Time
 }
 
@@ -67,7 +68,7 @@
 			f.waitRetry(ctx)
 			continue
 		}
-		f.apply(Update{Rows: snapshot.Rows, Complete: true, StoreRecoveredAt: recoveredAt})
+		f.apply(Update{Rows: snapshot.Rows, Complete: true, Revision: snapshot.Revision, StoreRecoveredAt: recoveredAt})
 		revision = f.follow(ctx, snapshot.Revision, recoveredAt)
 	}
 	return ctx.Err()
@@ -91,7 +92,7 @@
 			f.waitRetry(ctx)
 			continue
 		}
-		f.apply(Update{Rows: changes.Rows, StoreRecoveredAt: recoveredAt})
+		f.apply(Update{Rows: changes.Rows, Revision: changes.Revision, StoreRecoveredAt: recoveredAt})
 		revision = changes.Revision
 		if f.minInterval != nil {
 			f.wait(ctx, f.minInterval())
--- a/src/registry/leaving.go
+++ b/src/registry/leaving.go
@@ -156,7 +156,7 @@
 	defer r.mu.RUnlock()
 	var departing []Endpoint
 	for _, e := range r.endpoints {
-		if e.Service == service && e.Draining && !r.centresOut[e.Centre] && asked.Before(r.closesAt(e.LeavingBy, e.LeavingSince)) {
+		if e.Service == service && e.Draining && !r.isOut(e.Centre) && asked.Before(r.closesAt(e.LeavingBy, e.LeavingSince)) {
 			departing = append(departing, e)
 		}
 	}
--- a/src/registry/registry.go
+++ b/src/registry/registry.go
@@ -51,10 +51,12 @@
 	clock   sesamepitch.Clock
 	decoder Decoder
 
-	mu          sync.RWMutex
-	config      *Config
-	endpoints   map[string]Endpoint
-	centresOut  map[string]bool
+	mu        sync.RWMutex
+	config    *Config
+	endpoints map[string]Endpoint
+	// centresOut maps the data centres that operators took out to the version of the
+	// row that says so.
+	centresOut  map[string]int64
 	versions    map[string]int64
 	rowVersions map[string]int64
 	// expiring maps endpoints without a row to the time of their removal.
@@ -72,7 +74,7 @@
 func New(clock sesamepitch.Clock, decoder Decoder, options ...Option) *Registry {
 	r := &Registry{
 		clock: clock, decoder: decoder,
-		endpoints: map[string]Endpoint{}, centresOut: map[string]bool{}, versions: map[string]int64{},
+		endpoints: map[string]Endpoint{}, centresOut: map[string]int64{}, versions: map[string]int64{},
 		rowVersions: map[string]int64{}, expiring: map[string]time.Time{}, changed: make(chan struct{}),
 		words: map[string]heardWord{}, drainTime: defaultDrainTime,
 	}
@@ -103,7 +105,7 @@
 	now := r.clock.Now()
 	var usable []Endpoint
 	for _, e := range r.endpoints {
-		if e.Service != service || e.Draining || r.centresOut[e.Centre] {
+		if e.Service != service || e.Draining || r.isOut(e.Centre) {
 			continue
 		}
 		if until, expiring := r.expiring[e.ID]; expiring && !now.Before(until) {
@@ -114,6 +116,12 @@
 	return usable
 }
 
+// isOut reports whether operators took a data centre out. The caller must hold r.mu.
+func (r *Registry) isOut(centre string) bool {
+	_, out := r.centresOut[centre]
+	return out
+}
+
 // Endpoint returns the endpoint with an ID, and whether it is registered.
 func (r *Registry) Endpoint(id string) (Endpoint, bool) {
 	r.mu.RLock()
@@ -133,7 +141,11 @@
 func (r *Registry) CentresOut() map[string]bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return maps.Clone(r.centresOut)
+	out := map[string]bool{}
+	for centre := range r.centresOut {
+		out[centre] = true
+	}
+	return out
 }
 
 // Versions returns the newest named weight version by model.
@@ -150,17 +162,17 @@
 	return r.changed
 }
 
-// ApplyOperators applies changed rows of the operators' table, or all of its rows
-// if complete. It returns an error for each row that could not be decoded.
-func (r *Registry) ApplyOperators(rows []sesamepitch.Row, complete bool) []error {
+// ApplyOperators applies an update of the operators' table. It returns an error for
+// each row that could not be decoded.
+func (r *Registry) ApplyOperators(update Update) []error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer r.notifyChanged()
-	if complete {
-		r.restoreMissingCentres(rows)
+	if update.Complete {
+		r.restoreMissingCentres(update)
 	}
 	var faults []error
-	for _, row := range rows {
+	for _, row := range update.Rows {
 		if !r.recordVersion(row) {
 			continue
 		}
@@ -171,22 +183,29 @@
 	return faults
 }
 
-// restoreMissingCentres returns the data centres without a row to service.
-func (r *Registry) restoreMissingCentres(rows []sesamepitch.Row) {
+// restoreMissingCentres returns the data centres without a row to service, except
+// those that were taken out after the table was read.
+func (r *Registry) restoreMissingCentres(update Update) {
 	present := map[string]bool{}
-	for _, row := range rows {
+	for _, row := range update.Rows {
 		if op := r.decoder.Operation(row); op.Kind == OperationCentreOut {
 			present[op.Centre] = true
 		}
 	}
-	maps.DeleteFunc(r.centresOut, func(centre string, _ bool) bool { return !present[centre] })
+	maps.DeleteFunc(r.centresOut, func(centre string, takenOutAt int64) bool {
+		return !present[centre] && takenOutAt <= update.Revision
+	})
 }
 
 func (r *Registry) applyOperation(row sesamepitch.Row) error {
 	op := r.decoder.Operation(row)
 	switch op.Kind {
 	case OperationCentreOut:
-		r.centresOut[op.Centre] = !row.Deleted
+		if row.Deleted {
+			delete(r.centresOut, op.Centre)
+			return nil
+		}
+		r.centresOut[op.Centre] = row.Version
 	case OperationVersion:
 		r.versions[op.Model] = max(r.versions[op.Model], op.Version)
 	case OperationConfig:
--- a/src/registry/registry_test.go
+++ b/src/registry/registry_test.go
@@ -75,7 +75,7 @@
 			size := rapid.IntRange(1, 20).Draw(t, "config")
 			config := sesamepitch.Row{Key: "op//config", Value: []byte(strings.Repeat("x", size)), Version: version}
 			named := sesamepitch.Row{Key: "op//version", Version: version}
-			r.ApplyOperators([]sesamepitch.Row{config, named}, rapid.Bool().Draw(t, "whole"))
+			r.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{config, named}, Complete: rapid.Bool().Draw(t, "whole")})
 			if r.Config().Version < newestConfig || r.Versions()["coach"] < newestVersion {
 				t.Fatalf("version %d after %d", r.Config().Version, newestConfig)
 			}
@@ -97,9 +97,9 @@
 	r.ApplyEndpoints([]sesamepitch.Row{endpointRow("a", "", 3)}, false, time.Time{})
 	assert.DeepEqual(t, ids(r.Endpoints("lm")), map[string]bool{"b": true}) // an older row changes nothing
 
-	r.ApplyOperators([]sesamepitch.Row{{Key: "op//out/dc-b", Version: 5}}, false)
+	r.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//out/dc-b", Version: 5}}})
 	assert.Equal(t, len(r.Endpoints("lm")), 0)
-	r.ApplyOperators([]sesamepitch.Row{{Key: "op//out/dc-b", Version: 6, Deleted: true}}, false)
+	r.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//out/dc-b", Version: 6, Deleted: true}}})
 	assert.DeepEqual(t, ids(r.Endpoints("lm")), map[string]bool{"b": true})
 
 	r.ApplyEndpoints([]sesamepitch.Row{{Key: "servers//b", Version: 7, Deleted: true}}, false, time.Time{})
@@ -132,9 +132,9 @@
 func TestSnapshotForgets(t *testing.T) {
 	r := registry.New(clockwork.NewFakeClock(), decoder{})
 	r.ApplyEndpoints([]sesamepitch.Row{endpointRow("a", "", 1), endpointRow("b", "", 2)}, true, time.Time{})
-	r.ApplyOperators([]sesamepitch.Row{{Key: "op//out/dc-b", Version: 3}}, true)
+	r.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//out/dc-b", Version: 3}}, Complete: true})
 	r.ApplyEndpoints([]sesamepitch.Row{endpointRow("b", "", 2)}, true, time.Time{})
-	r.ApplyOperators(nil, true)
+	r.ApplyOperators(registry.Update{Complete: true, Revision: 3})
 	assert.DeepEqual(t, ids(r.Endpoints("lm")), map[string]bool{"b": true})
 }
 
@@ -270,6 +270,17 @@
 	<-ended
 }
 
+// TestCentreBackBySnapshotOfBefore guards against a data centre that is put back by a
+// read of the table from before it was taken out.
+func TestCentreBackBySnapshotOfBefore(t *testing.T) {
+	r := registry.New(clockwork.NewFakeClock(), decoder{})
+	r.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//out/dc-b", Version: 5}}, Revision: 5})
+	r.ApplyOperators(registry.Update{Complete: true, Revision: 4})
+	assert.DeepEqual(t, r.CentresOut(), map[string]bool{"dc-b": true})
+	r.ApplyOperators(registry.Update{Complete: true, Revision: 6})
+	assert.DeepEqual(t, r.CentresOut(), map[string]bool{})
+}
+
 // TestPanickingRow decodes a row with a defect of the decoder among others: it is a
 // fault of that row, and the others are applied.
 func TestPanickingRow(t *testing.T) {
--- a/src/scaling/scaling_test.go
+++ b/src/scaling/scaling_test.go
@@ -178,7 +178,7 @@
 	t.Parallel()
 	clock, store, orders := sesamepitch.SystemClock{}, standin.NewMemory(), &orderRecorder{}
 	reg := registry.New(clock, decoder{})
-	reg.ApplyOperators([]sesamepitch.Row{{Key: "op//config", Version: 1}}, true)
+	reg.ApplyOperators(registry.Update{Rows: []sesamepitch.Row{{Key: "op//config", Version: 1}}, Complete: true})
 	list := func(version int64, names ...string) {
 		var rows []sesamepitch.Row
 		for _, name := range names {
