The last instance accepts callers as long as it drives jobs in a stop

Found reading the change: a last instance goes on with its jobs to 4/5 of the serving time, but closed its listener after 2.6 s, as if callers had somewhere else to go; for 3 s more than before they were refused a connection. It now accepts them as long as it drives.

Evidence: TestLastInstanceTurnsCallersAway, "connection refused" before. Instances that are not alone stop as before.

--- a/src/instance/stop.go
+++ b/src/instance/stop.go
@@ -24,8 +24,8 @@
 
 // stopPlan divides the grace period of a stop. All times are counted from its start.
 type stopPlan struct {
-	// accept is how long new requests are accepted, serve how long open ones may go
-	// on.
+	// accept is how long new requests are accepted while there are other instances,
+	// serve how long open ones may go on.
 	accept, serve time.Duration
 	// handOver is how long the driver waits for the store, or for another instance,
 	// before it hands its jobs over.
@@ -45,6 +45,15 @@
 	}
 }
 
+// acceptFor returns how long new requests are accepted if there is a number of other
+// live instances: callers of the last one have nowhere else to go.
+func (p stopPlan) acceptFor(others int) time.Duration {
+	if others == 0 {
+		return p.handOver
+	}
+	return p.accept
+}
+
 // drain fails the readiness check so that the load balancer sends callers
 // elsewhere, hands over the driver lease, finishes open requests, writes the
 // remaining usage counts and removes the instance's row. Requests that are still
@@ -56,7 +65,7 @@
 	serveCtx, cancel := context.WithTimeout(context.Background(), plan.serve)
 	defer cancel()
 	driverLeft := i.driver.Leave(plan.handOver)
-	<-i.clock.After(plan.accept)
+	<-i.clock.After(plan.acceptFor(len(i.members.Others())))
 	if err := server.Shutdown(serveCtx); err != nil {
 		i.log.Info("open requests aborted at the end of the grace period", "cause", err.Error())
 		_ = server.Close()
