Review case 8: clients that ask for items' bodies end the instances

Each request for one body reads and decodes the whole job: three clients at an instance of 174 MB and a job of 26 MB make its process exceed its memory, again and again (rule Fault).

--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -9,11 +9,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -84,7 +86,7 @@
 		}
 		return
 	}
-	scripts := map[string]func(*lab) (bool, error){"items": unframedItem, "streams": tornStream, "takeover": takeover}
+	scripts := map[string]func(*lab) (bool, error){"items": unframedItem, "streams": tornStream, "takeover": takeover, "bodies": itemBodies}
 	run, known := scripts[os.Args[1]]
 	if !known || len(os.Args) < 3 {
 		os.Exit(exitUnknown)
@@ -175,19 +177,23 @@
 	return poll(timeout, func() bool { return l.seen(texts...) })
 }
 
-func (l *lab) seen(texts ...string) bool {
+func (l *lab) seen(texts ...string) bool { return l.count(texts...) > 0 }
+
+// count returns the number of lines that contain all texts.
+func (l *lab) count(texts ...string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	count := 0
 	for _, line := range l.lines {
 		all := true
 		for _, text := range texts {
 			all = all && strings.Contains(line, text)
 		}
 		if all {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 func poll(timeout time.Duration, done func() bool) bool {
@@ -199,13 +205,21 @@
 	return false
 }
 
+// Ports below those that the system gives to clients, so that an instance that starts
+// again finds its ports free.
+const (
+	firstPort = 20_000
+	portCount = 12_000
+)
+
 func freeAddress() string {
-	listener, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return ""
+	for {
+		address := net.JoinHostPort(host, strconv.Itoa(firstPort+rand.IntN(portCount)))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
 }
 
 // start starts a program; its output goes to the record if follow is set, else to a
