--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -51,6 +51,8 @@
 type lab struct {
 	folder  string
 	trouble bool
+	// scored adds a call that scores its text to each item.
+	scored  bool
 	record  *os.File
 	store   *store
 	address string
@@ -86,7 +88,7 @@
 		}
 		return
 	}
-	scripts := map[string]func(*lab) (bool, error){"items": unframedItem, "streams": tornStream, "takeover": takeover, "bodies": itemBodies}
+	scripts := map[string]func(*lab) (bool, error){"items": unframedItem, "streams": tornStream, "takeover": takeover, "bodies": itemBodies, "scores": copiedFailure}
 	run, known := scripts[os.Args[1]]
 	if !known || len(os.Args) < 3 {
 		os.Exit(exitUnknown)
@@ -400,6 +402,7 @@
 }
 
 const config = `{"version":7,"routes":[
+ {"name":"r-score","host":"ficu95.example","path_prefix":"/score/","kind":"safe","timeout_ms":2000,"target_latency_ms":400,"priority":2,"service":"desk","max_attempts":2,"public":true},
  {"name":"r-stream","host":"ficu95.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"desk","max_attempts":2,"public":false},
  {"name":"r-train","host":"ficu95.example","path_prefix":"/train/","kind":"rollout","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"lm","max_attempts":3,"queue_ttl_s":40,"result_deadline_ms":7500}],
  "services":[
@@ -439,6 +442,14 @@
 	Text  string `json:"text"`
 }
 
+// scoringCall is the call that scores an item's complete text.
+type scoringCall struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Body []byte `json:"body"`
+}
+
 // submit submits a batch job with these items, each a group of its own, whose bodies
 // have the given size.
 func (l *lab) submit(instance *process, job string, items []string, size int) (status int, err error) {
@@ -449,11 +460,17 @@
 		Body    []byte            `json:"body"`
 		Tokens  int               `json:"tokens"`
 		Group   string            `json:"group"`
+		Scoring *scoringCall      `json:"scoring_endpoint,omitempty"`
 	}
 	var wire []item
 	for _, id := range items {
+		var scoring *scoringCall
+		if l.scored {
+			scoring = &scoringCall{ID: "score-" + id, Host: "ficu95.example", Path: "/score/" + id, Body: []byte("score " + id)}
+		}
 		wire = append(wire, item{
-			ID: id, Path: "/train/3/" + id, Headers: map[string]string{"Model": "coach", "Token-Usage": "540,400"},
+			Scoring: scoring,
+			ID:      id, Path: "/train/3/" + id, Headers: map[string]string{"Model": "coach", "Token-Usage": "540,400"},
 			Body: bytes.Repeat([]byte("x"), size), Tokens: 940, Group: "g-" + id,
 		})
 	}
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -22,6 +22,8 @@
 	streamEvents = 50
 	eventTime    = 40 * time.Millisecond
 	firstTime    = 20 * time.Millisecond
+	// secondTime is the time from a second copy to the answer that is expected.
+	secondTime = 20 * time.Millisecond
 )
 
 // eventData returns the data of event n of a request; it is the same at all workers.
@@ -46,12 +48,17 @@
 	unframed string
 	// torn makes an event leave in two parts, with a pause between them.
 	torn bool
+	// fails names the request whose first answer is a failure; copied is set if a second
+	// copy of it is sent where the answer to the next request on its channel is expected.
+	fails  string
+	copied bool
 	// events makes the worker tell of each event.
 	events bool
 
 	mu      sync.Mutex
 	version int64
 	orders  int64
+	failed  bool
 }
 
 func runWorker(args []string) error {
@@ -61,6 +68,8 @@
 	flags.StringVar(&w.id, "id", "", "the worker's id")
 	flags.StringVar(&w.unframed, "unframed", "", "id of the request that is answered without a length; 'all' for each stream")
 	flags.BoolVar(&w.torn, "torn", false, "send each event in two parts")
+	flags.StringVar(&w.fails, "fails", "", "id of the request that fails once")
+	flags.BoolVar(&w.copied, "copied", false, "send a second copy of that answer")
 	flags.BoolVar(&w.events, "events", false, "tell of each event")
 	if err := flags.Parse(args); err != nil {
 		return err
@@ -135,6 +144,11 @@
 func (w *worker) plain(rw http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.say("began %s after 0", id)
+	if w.mustFail(id) {
+		w.fail(rw, id)
+		return
+	}
+	w.say("answered %s 200", id)
 	rw.Header().Set("Request-Id", id)
 	rw.Header().Set("Server-Stamp", "stamp."+w.id+"."+id)
 	_, _ = io.WriteString(rw, "answer to "+id)
@@ -239,3 +253,53 @@
 	_, err := to.WriteString("\r\n")
 	return err
 }
+
+// mustFail reports, once, whether a request is the one that fails.
+func (w *worker) mustFail(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fails := id == w.fails && !w.failed
+	w.failed = w.failed || fails
+	return fails
+}
+
+// fail answers a request with 500.
+func (w *worker) fail(rw http.ResponseWriter, id string) {
+	if w.copied {
+		w.failTwice(rw, id)
+		return
+	}
+	w.say("answered %s 500", id)
+	rw.Header().Set("Request-Id", id)
+	rw.WriteHeader(http.StatusInternalServerError)
+}
+
+// failTwice answers a request with 500. The next request on its channel first gets a
+// second copy of that answer, and then its own.
+func (w *worker) failTwice(rw http.ResponseWriter, id string) {
+	conn, buffered, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	failure := fmt.Sprintf("HTTP/1.1 500 Internal Server Error\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+	w.say("answered %s 500", id)
+	if _, err := io.WriteString(conn, failure); err != nil {
+		return
+	}
+	next, err := http.ReadRequest(buffered.Reader)
+	if err != nil {
+		w.say("the channel ended before the second copy")
+		return
+	}
+	_, _ = io.Copy(io.Discard, next.Body)
+	nextID := next.Header.Get("Request-Id")
+	w.say("began %s after 0", nextID)
+	w.say("second copy of the answer to %s, where that to %s is expected", id, nextID)
+	if _, err := io.WriteString(conn, failure); err != nil {
+		return
+	}
+	time.Sleep(secondTime)
+	w.say("answered %s 200", nextID)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp.%s.%s\r\nContent-Length: 2\r\n\r\nok", nextID, w.id, nextID)
+}
