--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -38,6 +39,9 @@
 	key     = "k1"
 )
 
+// longestRun is the time that a script may take.
+const longestRun = 110 * time.Second
+
 // heartbeat is the time between two writes of a worker's row; after lostAfter of
 // silence the row is removed.
 const (
@@ -104,6 +108,7 @@
 		return exitUnknown
 	}
 	defer l.close()
+	go l.endEarly()
 	broken, err := run(l)
 	switch {
 	case err != nil:
@@ -117,6 +122,19 @@
 	return exitHeld
 }
 
+// endEarly ends everything when the script is stopped or takes too long.
+func (l *lab) endEarly() {
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-stopped:
+	case <-time.After(longestRun):
+	}
+	l.note("the script was ended early")
+	l.close()
+	os.Exit(exitUnknown)
+}
+
 func newLab(recordPath string) (*lab, error) {
 	record, err := os.Create(recordPath)
 	if err != nil {
