A status that no answer has is refused where heads are read

What callers saw: an endpoint in trouble answered with status 000. No caller got it as an answer, but the handler panicked as it wrote that status, and the caller's connection was closed without any answer, also where another endpoint could have served the request. Behind the callers it counted: a usage report or an order for endpoints that was answered 000 was taken as accepted, an order to an engine as refused for good, a service's answer of the own interface likewise reached WriteHeader.

Cause: net/http takes any three characters that strconv.Atoi reads as a number for a status (000, 099, +20, 999), any version of HTTP, and 101 although nobody asked to switch; each reader then compared the status in a way of its own (< 300, < 500, == 200).

What each reader did with 000 before: plain answers and streams (a panic), scoring calls (failed by their status), items, health checks, reports, the store (failed by their status), orders (KindInvalid, though the order may have been carried out), usage reports and orders for endpoints (success), the own interface: services (passed on, a panic), judges and engines' streams (failed), an engine's load (its JSON believed), its table (failed). Peers speak net/rpc and have no heads.

Change: src/answer checks a head's bytes as they arrive, before net/http has the end of it: a status line of HTTP/1 with three digits from 100 to 599, but not 101. A broken head ends the connection and fails the try, with what is wrong in the error; an answer whose head arrived before its request had the connection fails likewise. The gateway then answers 502, or tries another endpoint where that is allowed, and what was reserved is given back on the way that all failed tries go. The line "content suspected" has the cause now, as a try that another endpoint made good for left none in the log. Why it works: every reader of answers passes src/answer, and nothing in a broken head reaches them.

Ruled out: a check at WriteHeader (the usage report and the order would stay).

--- a/src/answer/conn.go
+++ b/src/answer/conn.go
@@ -37,7 +37,7 @@
 
 func newConn(dialled net.Conn, clock sesamepitch.Clock) *conn {
 	c := &conn{Conn: dialled, clock: clock, raw: rawConn(dialled)}
-	c.current.Store(&exchange{})
+	c.current.Store(&exchange{conn: c})
 	return c
 }
 
@@ -65,16 +65,20 @@
 // begin returns the exchange of the next request.
 func (c *conn) begin(reused bool) *exchange {
 	if reused {
-		c.current.Store(&exchange{})
+		c.current.Store(&exchange{conn: c})
 	}
 	return c.current.Load()
 }
 
-// Read reads the next bytes. It fails with io.EOF only if the other side ended the
-// connection in the regular way, or if nothing depends on it.
+// Read reads the next bytes. It fails at a head that no answer has, so that nothing in it
+// is believed. It fails with io.EOF only if the other side ended the connection in the
+// regular way, or if nothing depends on it.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	x := c.current.Load()
+	if broken := x.read(b[:n]); broken != nil {
+		return 0, broken
+	}
 	if err == io.EOF && x.isEnd() {
 		return n, c.confirmEnd(x)
 	}
--- a/src/answer/exchange.go
+++ b/src/answer/exchange.go
@@ -4,7 +4,10 @@
 
 // exchange is a request on a connection, and its answer.
 type exchange struct {
-	mu sync.Mutex
+	conn *conn
+
+	mu   sync.Mutex
+	head head
 	// written is set once the request was written, or could not be for writeErr.
 	written  bool
 	writeErr error
@@ -12,6 +15,20 @@
 	endsWithConn bool
 }
 
+// read checks bytes of the answer.
+func (x *exchange) read(part []byte) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.head.read(part)
+}
+
+// hasHead reports whether a head has arrived since the request was given its connection.
+func (x *exchange) hasHead() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.head.state == behindHead
+}
+
 // endWrite records that the request has been written, or why it could not be.
 func (x *exchange) endWrite(err error) {
 	x.mu.Lock()
--- a/src/answer/transport.go
+++ b/src/answer/transport.go
@@ -1,5 +1,6 @@
-// Package answer reads the answers of endpoints and of the platform: an answer that ends
-// with its connection is whole only if that connection was not reset.
+// Package answer reads the answers of endpoints and of the platform: their heads are those
+// of HTTP/1, and an answer that ends with its connection is whole only if that connection
+// was not reset.
 package answer
 
 import (
@@ -63,8 +64,13 @@
 	if err != nil {
 		return nil, err
 	}
+	used := current.Load()
+	if !used.hasHead() {
+		_ = used.conn.Close() // the answer to this request may still come there
+		return nil, headError("the answer arrived before its request had the connection")
+	}
 	if !IsFramed(response) {
-		current.Load().expectEnd()
+		used.expectEnd()
 	}
 	return response, nil
 }
--- a/src/endpoint/endpoint_test.go
+++ b/src/endpoint/endpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -67,3 +68,46 @@
 		})
 	}
 }
+
+// headReaders are the readers of answers. Each accepts one with a status of 200 and its body.
+var headReaders = []struct {
+	name, body string
+	read       func(c *endpoint.Client, address string) error
+}{
+	{"service", "answer", func(c *endpoint.Client, address string) error {
+		_, err := c.Invoke(context.Background(), address, endpoint.Call{ID: "a", Method: http.MethodPost, Path: "/x"})
+		return err
+	}},
+	{"judge", `{"score":1}`, func(c *endpoint.Client, address string) error {
+		_, err := c.Judge(context.Background(), address, "a", "prompt", "text")
+		return err
+	}},
+	{"engine's stream", "data: {\"id\":\"a\"}\n\ndata: [DONE]\n\n", func(c *endpoint.Client, address string) error {
+		return c.Complete(context.Background(), address, endpoint.Completion{ID: "a", Model: "coach"}, func(endpoint.Chunk) error { return nil })
+	}},
+	{"engine's load", "{}", func(c *endpoint.Client, address string) error {
+		_, err := c.ReadLoad(context.Background(), address)
+		return err
+	}},
+}
+
+// readHeads checks whether readers accept an answer whose head has a status line and lines.
+func readHeads(t *testing.T, statusLine, lines string, accepted bool) {
+	t.Helper()
+	for _, reader := range headReaders {
+		t.Run(statusLine+", "+reader.name, func(t *testing.T) {
+			text := fmt.Sprintf("%s\r\nContent-Length: %d\r\n%s\r\n%s", statusLine, len(reader.body), lines, reader.body)
+			address := rawEndpoint(t, text, func(conn *net.TCPConn) { _ = conn.Close() })
+			err := reader.read(endpoint.New(), address)
+			assert.Equal(t, err == nil, accepted, "%v", err)
+		})
+	}
+}
+
+// TestStatusOfNoAnswer guards against a status that no answer has being taken for one.
+func TestStatusOfNoAnswer(t *testing.T) {
+	readHeads(t, "HTTP/1.1 200 OK", "", true)
+	for _, statusLine := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/9.9 200 OK"} {
+		readHeads(t, statusLine, "", false)
+	}
+}
--- a/src/gateway/dispatch.go
+++ b/src/gateway/dispatch.go
@@ -233,7 +233,7 @@
 		d.gateway.quarantine.RecordAnswer(d.content)
 	case (kind == sesamepitch.KindCrashed || kind == sesamepitch.KindUnknown) && ctx.Err() == nil:
 		d.crashes = d.gateway.quarantine.RecordCrash(d.content, process(d.lastEndpoint))
-		d.gateway.log.Info("content suspected", "request", d.request.ID, "content", d.content, "endpoint", d.lastEndpoint.ID, "crashes", d.crashes)
+		d.gateway.log.Info("content suspected", "request", d.request.ID, "content", d.content, "endpoint", d.lastEndpoint.ID, "crashes", d.crashes, "cause", err.Error())
 	}
 }
 
