A field's name with a blank or a control byte is refused where heads are read

What callers saw: an answer in whose head the name of a field held a blank ("X Odd: 1", "X-Odd : 1") reached them with that line passed on; where it was the length or the transfer encoding, the field did not count, and the caller got more bytes than the endpoint had named, or the framing of its chunks, as the body. A line that begins with a blank was taken for the continuation of the line before: " X-Odd: 1" behind Server-Stamp became part of the stamp. Control bytes elsewhere in a name were refused.

Cause: net/http accepts blanks in names, as it always has, and keeps such a field under a name that nothing looks up, so what the field says is neither refused nor used.

What each reader did before: all of them (plain answers, scoring calls, streams, items, health checks, reports, orders, usage reports, the store; services, judges, engines' streams and loads of the own interface) accepted such heads. None looked at trailers, which are passed on to nobody. Peers have no heads.

Change: the check of heads in src/answer takes only the bytes of RFC 9110 in names, also in the heads of interim answers; a line that begins with a blank has no name (the continuation of lines is obsolete, RFC 9112 5.2 lets a proxy refuse it). Names of trailers are checked at the end of a chunked body. Why it works: the byte is refused before net/http has the end of the head, so neither the length nor the limits, leaving, keep-alive and IDs of that head are believed.

Not covered: a line of a trailer that begins with a blank, behind the trailer's first line: net/http folds it into the value before, which nothing reads.

--- a/src/answer/exchange.go
+++ b/src/answer/exchange.go
@@ -1,6 +1,9 @@
 package answer
 
-import "sync"
+import (
+	"net/http"
+	"sync"
+)
 
 // exchange is a request on a connection, and its answer.
 type exchange struct {
@@ -29,6 +32,22 @@
 	return x.head.state == behindHead
 }
 
+// accept checks the answer, and prepares the checks of its body's end. It is called before
+// that body is read.
+func (x *exchange) accept(response *http.Response) error {
+	if !x.hasHead() {
+		_ = x.conn.Close() // the answer to this request may still come there
+		return headError("the answer arrived before its request had the connection")
+	}
+	switch {
+	case !IsFramed(response):
+		x.expectEnd()
+	case isChunked(response):
+		response.Body = trailerReader{response.Body, response, x.conn}
+	}
+	return nil
+}
+
 // endWrite records that the request has been written, or why it could not be.
 func (x *exchange) endWrite(err error) {
 	x.mu.Lock()
@@ -43,8 +62,7 @@
 	return x.written, x.writeErr
 }
 
-// expectEnd records that the answer's body ends with its connection. It is called before
-// that body is read.
+// expectEnd records that the answer's body ends with its connection.
 func (x *exchange) expectEnd() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/src/answer/head.go
+++ b/src/answer/head.go
@@ -16,8 +16,11 @@
 	maxStatus = 599
 	// statusDigits is the length of a status in the status line.
 	statusDigits = 3
-	// maxKeptLine is how much of a status line is kept, in bytes.
+	// maxKeptLine is how much of a status line or a field's name is kept, in bytes.
 	maxKeptLine = 64
+	// nameBytes are the bytes of a field's name besides letters and digits: RFC 9110,
+	// section 5.6.2.
+	nameBytes = "!#$%&'*+-.^_`|~"
 )
 
 // headState is what the next byte of a head belongs to.
@@ -26,7 +29,8 @@
 const (
 	inStatusLine headState = iota
 	atLineStart
-	inField
+	inName
+	inValue
 	// inLastLine is behind the CR of the empty line that ends a head.
 	inLastLine
 	behindHead
@@ -36,7 +40,7 @@
 // accepts more than the protocol allows.
 type head struct {
 	state headState
-	// line is the beginning of the status line.
+	// line is the beginning of the status line or of the name of the current field.
 	line []byte
 	// interim is set in the head of an interim answer, which another head follows.
 	interim bool
@@ -61,8 +65,10 @@
 	case inStatusLine:
 		return h.readStatusLine(b)
 	case atLineStart:
-		h.beginLine(b)
-	case inField:
+		return h.beginLine(b)
+	case inName:
+		return h.readName(b)
+	case inValue:
 		if b == '\n' {
 			h.state = atLineStart
 		}
@@ -78,9 +84,7 @@
 // readStatusLine reads the next byte of the status line, and checks that line at its end.
 func (h *head) readStatusLine(b byte) error {
 	if b != '\n' {
-		if len(h.line) < maxKeptLine {
-			h.line = append(h.line, b)
-		}
+		h.keep(b)
 		return nil
 	}
 	status, err := parseStatusLine(strings.TrimSuffix(string(h.line), "\r"))
@@ -92,16 +96,47 @@
 	return nil
 }
 
+// keep appends a byte to the kept part of the line.
+func (h *head) keep(b byte) {
+	if len(h.line) < maxKeptLine {
+		h.line = append(h.line, b)
+	}
+}
+
 // beginLine reads the first byte of a line behind the status line.
-func (h *head) beginLine(b byte) {
+func (h *head) beginLine(b byte) error {
 	switch b {
 	case '\n':
 		h.end()
 	case '\r':
 		h.state = inLastLine
 	default:
-		h.state = inField
+		h.state = inName
+		h.line = h.line[:0]
+		return h.readName(b)
+	}
+	return nil
+}
+
+// readName reads the next byte of a field's name. A line that begins with a blank has none:
+// it would be the continuation of the line before, which HTTP/1.1 no longer allows.
+func (h *head) readName(b byte) error {
+	switch {
+	case b == ':' && len(h.line) > 0:
+		h.state = inValue
+	case !isNameByte(b):
+		return headError(fmt.Sprintf("byte %q in the name of a field, behind %q", b, h.line))
+	default:
+		h.keep(b)
 	}
+	return nil
+}
+
+// isNameByte reports whether the name of a field may hold a byte.
+func isNameByte(b byte) bool {
+	isLetter := 'a' <= b|0x20 && b|0x20 <= 'z'
+	isDigit := '0' <= b && b <= '9'
+	return isLetter || isDigit || strings.IndexByte(nameBytes, b) >= 0
 }
 
 // end ends the head.
--- a/src/answer/head_test.go
+++ b/src/answer/head_test.go
@@ -48,6 +48,14 @@
 		{"version", "HTTP/9.9 200 OK\r\n", "HTTP/9.9 200 OK", false},
 		{"no status line", "garbage\r\n", "garbage", false},
 		{"CR within the last line", ok + "\rA: 1\r\n", "CR", false},
+		{"blank in a name", ok + "X Odd: 1\r\n", `byte ' ' in the name of a field, behind "X"`, false},
+		{"blank before the colon", ok + "X-Odd : 1\r\n", `byte ' ' in the name of a field, behind "X-Odd"`, false},
+		{"blank before a name", ok + "A: 1\r\n X-Odd: 1\r\n", `byte ' ' in the name of a field, behind ""`, false},
+		{"control byte in a name", ok + "X\x00Odd: 1\r\n", `byte '\x00'`, false},
+		{"no name", ok + ": 1\r\n", "byte ':'", false},
+		{"no colon", ok + "X-Odd\r\n", `byte '\r'`, false},
+		{"name in the head of an interim answer", "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n", "byte ' '", false},
+		{"long name", ok + strings.Repeat("x", 10000) + " : 1\r\n", "byte ' '", false},
 	}
 	for _, c := range cases {
 		for _, whole := range []bool{true, false} {
@@ -97,5 +105,8 @@
 		}
 		assert.Assert(t, response.StatusCode >= http.StatusOK && response.StatusCode <= maxStatus, "%q", text)
 		assert.Equal(t, response.ProtoMajor, 1)
+		for name := range response.Header {
+			assert.Assert(t, isName(name), "%q of %q", name, text)
+		}
 	})
 }
--- a/src/answer/transport.go
+++ b/src/answer/transport.go
@@ -64,13 +64,8 @@
 	if err != nil {
 		return nil, err
 	}
-	used := current.Load()
-	if !used.hasHead() {
-		_ = used.conn.Close() // the answer to this request may still come there
-		return nil, headError("the answer arrived before its request had the connection")
-	}
-	if !IsFramed(response) {
-		used.expectEnd()
+	if err := current.Load().accept(response); err != nil {
+		return nil, err
 	}
 	return response, nil
 }
@@ -78,5 +73,10 @@
 // IsFramed reports whether an answer's length or its last chunk proves that its body is
 // whole. Otherwise the body ends with its connection.
 func IsFramed(response *http.Response) bool {
-	return response.ContentLength >= 0 || response.Body == http.NoBody || slices.Contains(response.TransferEncoding, "chunked")
+	return response.ContentLength >= 0 || response.Body == http.NoBody || isChunked(response)
+}
+
+// isChunked reports whether an answer's body comes in chunks.
+func isChunked(response *http.Response) bool {
+	return slices.Contains(response.TransferEncoding, "chunked")
 }
--- a/src/endpoint/endpoint_test.go
+++ b/src/endpoint/endpoint_test.go
@@ -111,3 +111,11 @@
 		readHeads(t, statusLine, "", false)
 	}
 }
+
+// TestBrokenFieldName guards against an answer in whose head the name of a field holds a blank
+// or a control byte.
+func TestBrokenFieldName(t *testing.T) {
+	for _, line := range []string{"X Odd: 1", "X-Odd : 1", " X-Odd: 1", "X\x01Odd: 1", "Transfer-Encoding : chunked"} {
+		readHeads(t, "HTTP/1.1 200 OK", line+"\r\n", false)
+	}
+}
