--- a/src/answer/conn.go
+++ b/src/answer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -108,7 +109,7 @@
 }
 
 func resetError(cause error) error {
-	return &Error{Op: "answer.read", Kind: sesamepitch.KindCrashed, Err: errors.Join(errReset, cause)}
+	return &Error{Op: "answer.read", Kind: sesamepitch.KindCrashed, Err: fmt.Errorf("%w: %w", errReset, cause)}
 }
 
 // look reports whether the other side has all that was written so far. It fails if the
--- a/src/answer/head.go
+++ b/src/answer/head.go
@@ -98,6 +98,9 @@
 
 // keep appends a byte to the kept part of the line.
 func (h *head) keep(b byte) {
+	if h.line == nil {
+		h.line = make([]byte, 0, maxKeptLine)
+	}
 	if len(h.line) < maxKeptLine {
 		h.line = append(h.line, b)
 	}
