src/answer: the test's reset comes once the part was read

Seen: TestResetLooksLikeEnd failed beside load under the race detector, at "reset, long upload": the body was "", not "part".

Cause: the stand-in reset the connection 5 ms behind its answer. On a busy machine the client had not read by then; a reset discards what was not read, and the upload's failed write refuses the request before there is an answer. Nothing broken reaches a caller; only the test expected the part to be there.

Ruled out: a part taken as whole (each empty body came with an error); an answer read late behind its head (reading the body 20 ms late gives "part" and an error).

Change: the reset waits until the client has read the part. Both assertions stay: the part was read, and it is refused.

--- a/src/answer/transport_test.go
+++ b/src/answer/transport_test.go
@@ -15,6 +15,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// part is the body of an answer, or what of it comes before a reset.
+const part = "part"
+
 // rawServer answers each request with a text, before it has read the request's body, and
 // ends the connection as end does. It returns its URL.
 func rawServer(t *testing.T, text string, end func(*net.TCPConn)) string {
@@ -30,8 +33,9 @@
 	return server.URL
 }
 
-// send sends a request with a body of some bytes, and returns the body of its answer.
-func send(t *testing.T, transport http.RoundTripper, url string, bodyBytes int) (string, error) {
+// send sends a request with a body of some bytes, and returns the body of its answer. partRead
+// receives when as much of it as part was read.
+func send(t *testing.T, transport http.RoundTripper, url string, bodyBytes int, partRead chan<- struct{}) (string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -42,8 +46,14 @@
 		return "", err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return string(body), err
+	body := make([]byte, len(part))
+	n, err := io.ReadFull(response.Body, body)
+	if err != nil {
+		return string(body[:n]), err
+	}
+	partRead <- struct{}{}
+	rest, err := io.ReadAll(response.Body)
+	return string(body) + string(rest), err
 }
 
 // hiddenSocket is a connection that does not give access to its socket.
@@ -61,26 +71,28 @@
 // TestResetLooksLikeEnd guards against a reset that only the write of a request sees, so that
 // the read sees the regular end of an answer without a length.
 func TestResetLooksLikeEnd(t *testing.T) {
-	const long, short = 8 << 20, 100
-	reset := func(conn *net.TCPConn) {
+	const long, short, tries = 8 << 20, 100, 5
+	// A reset discards what has not been read yet, so it comes when the part has been.
+	reset := func(conn *net.TCPConn, partRead <-chan struct{}) {
+		<-partRead
 		time.Sleep(5 * time.Millisecond)
 		_ = conn.SetLinger(0)
 	}
-	closeWrite := func(conn *net.TCPConn) {
+	closeWrite := func(conn *net.TCPConn, _ <-chan struct{}) {
 		_ = conn.CloseWrite()
 		_, _ = io.Copy(io.Discard, conn)
 	}
 	cases := []struct {
 		name      string
 		bodyBytes int
-		end       func(*net.TCPConn)
+		end       func(*net.TCPConn, <-chan struct{})
 		whole     bool
 	}{
 		{"reset, long upload", long, reset, false},
 		{"reset, short upload", short, reset, false},
 		{"rest read, long upload", long, closeWrite, true},
 		{"rest read, short upload", short, closeWrite, true},
-		{"closed, no upload", 0, func(*net.TCPConn) {}, true},
+		{"closed, no upload", 0, func(*net.TCPConn, <-chan struct{}) {}, true},
 	}
 	dials := []struct {
 		name string
@@ -92,11 +104,12 @@
 	for _, d := range dials {
 		for _, c := range cases {
 			t.Run(d.name+", "+c.name, func(t *testing.T) {
-				url := rawServer(t, "HTTP/1.1 200 OK\r\n\r\npart", c.end)
-				for try := range 5 {
+				partRead := make(chan struct{}, tries)
+				url := rawServer(t, "HTTP/1.1 200 OK\r\n\r\n"+part, func(conn *net.TCPConn) { c.end(conn, partRead) })
+				for try := range tries {
 					transport := answer.NewTransport(&http.Transport{DialContext: d.dial})
-					body, err := send(t, transport, url, c.bodyBytes)
-					assert.Equal(t, body, "part")
+					body, err := send(t, transport, url, c.bodyBytes, partRead)
+					assert.Equal(t, body, part)
 					if c.whole {
 						assert.NilError(t, err, "try %d", try)
 						continue
